--- /dev/null
+++ b/daemon/rosemaryhookd.cc
@@ -0,0 +1,33 @@
+// The daemon that runs on each entry host.
+//
+//   rosemaryhookd --settings host.yaml [--check]
+#include <fmt/core.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+
+#include "rosemaryhook/daemon.h"
+#include "rosemaryhook/settings.h"
+
+int main(int argc, char** argv) {
+  CLI::App app("Serves callers and dispatches to the backend servers it owns");
+  std::string file;
+  bool check = false;
+  app.add_option("--settings", file, "YAML file")->required();
+  app.add_flag("--check", check, "check the settings and exit");
+  CLI11_PARSE(app, argc, argv);
+  const auto settings = rosemaryhook::LoadSettings(file);
+  if (const auto* error = rosemaryhook::Failure(settings)) {
+    fmt::print(stderr, "{}\n", error->message);
+    return 1;
+  }
+  if (check) {
+    fmt::print("{}: ok\n", file);
+    return 0;
+  }
+  const int exit_code =
+      rosemaryhook::RunDaemon(std::get<rosemaryhook::Settings>(settings));
+  // What still waits at this point is not unwound: the process is done.
+  std::_Exit(exit_code);
+}
--- /dev/null
+++ b/rosemaryhook/contact.cc
@@ -0,0 +1,212 @@
+// A form of read lease granted by any majority (Gray and Cheriton, "Leases: an
+// efficient fault-tolerant mechanism for distributed file cache consistency",
+// 1989) over quorums that change with the log (Lamport, Malkhi and Zhou,
+// "Reconfiguring a state machine", 2010). A question's answer grants the asker
+// kContactSpan from the time of asking. A revision waits until a majority of
+// each membership that an acting host can still hold has acknowledged it, and
+// then until every grant given before has run out. Any later grant comes from
+// the table or from a majority, and so from someone who knows the revision.
+#include "rosemaryhook/contact.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace rosemaryhook {
+namespace {
+
+const Members& CurrentMembers(const Contact& contact) {
+  static const Members kNone;
+  return contact.memberships.empty() ? kNone
+                                     : contact.memberships.rbegin()->second;
+}
+
+size_t MajorityOf(const Members& members) {
+  return members.size() / 2 + 1;
+}
+
+// The send time of the answer that completes a majority, the own host counting
+// as answering at any time.
+std::optional<Time> MajoritySent(const Contact& contact) {
+  const Members& members = CurrentMembers(contact);
+  if (!members.contains(contact.session)) {
+    return std::nullopt;
+  }
+  std::vector<Time> sent;
+  for (const auto& [session, peer] : contact.peers) {
+    if (peer.sent && members.contains(session) && session != contact.session) {
+      sent.push_back(*peer.sent);
+    }
+  }
+  const size_t others = MajorityOf(members) - 1;
+  if (others == 0) {
+    return Time::max() - kContactSpan;
+  }
+  if (sent.size() < others) {
+    return std::nullopt;
+  }
+  std::sort(sent.begin(), sent.end(), std::greater<>());
+  return sent[others - 1];
+}
+
+bool HasAcknowledged(const Contact& contact,
+                     const std::string& session,
+                     Revision revision) {
+  if (session == contact.session || contact.dropped.contains(session)) {
+    return true;
+  }
+  const auto peer = contact.peers.find(session);
+  return peer != contact.peers.end() && peer->second.known >= revision;
+}
+
+bool MajorityAcknowledged(const Contact& contact,
+                          const Members& members,
+                          Revision revision) {
+  const auto count =
+      std::count_if(members.begin(), members.end(), [&](const auto& session) {
+        return HasAcknowledged(contact, session, revision);
+      });
+  return static_cast<size_t>(count) >= MajorityOf(members);
+}
+
+// Whether a majority of every membership from `in_force` up to `revision` has
+// acknowledged `revision`. Empty memberships have nobody who could act.
+bool IsAcknowledged(const Contact& contact, Revision revision) {
+  for (const auto& [since, members] : contact.memberships) {
+    if (since > revision) {
+      break;
+    }
+    if (!members.empty() && !MajorityAcknowledged(contact, members, revision)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Revisions worth testing, newest first: what this host holds and what its
+// peers hold, as acknowledgement can only change at one of them.
+std::vector<Revision> Candidates(const Contact& contact, Revision applied) {
+  std::vector<Revision> candidates{applied};
+  for (const auto& [session, peer] : contact.peers) {
+    if (peer.known < applied && peer.known > contact.in_force) {
+      candidates.push_back(peer.known);
+    }
+  }
+  std::sort(candidates.begin(), candidates.end(), std::greater<>());
+  return candidates;
+}
+
+// Drops what only mattered for revisions before `in_force`. The membership in
+// effect at `in_force` itself stays.
+void Prune(Contact* contact) {
+  auto& memberships = contact->memberships;
+  auto first = memberships.upper_bound(contact->in_force);
+  if (first != memberships.begin()) {
+    memberships.erase(memberships.begin(), std::prev(first));
+  }
+  while (!contact->acknowledged.empty() &&
+         contact->acknowledged.front().revision <= contact->in_force) {
+    contact->acknowledged.pop_front();
+  }
+}
+
+void NoteInForce(Revision in_force, Contact* contact) {
+  if (in_force > contact->in_force) {
+    contact->in_force = in_force;
+    Prune(contact);
+  }
+}
+
+}  // namespace
+
+void NoteTableAnswer(Time sent,
+                     Revision head,
+                     Revision in_force,
+                     Contact* contact) {
+  contact->heard = std::max(contact->heard, head);
+  if (!contact->table_sent || sent > *contact->table_sent) {
+    contact->table_sent = sent;
+  }
+  NoteInForce(in_force, contact);
+}
+
+void NotePeerAnswer(const std::string& session,
+                    Time sent,
+                    Revision known,
+                    Revision in_force,
+                    Contact* contact) {
+  contact->heard = std::max({contact->heard, known, in_force});
+  PeerContact& peer = contact->peers[session];
+  peer.known = std::max(peer.known, known);
+  if (!peer.sent || sent > *peer.sent) {
+    peer.sent = sent;
+  }
+  NoteInForce(in_force, contact);
+}
+
+void NoteApplied(const FleetState& fleet, Contact* contact) {
+  Members members;
+  for (const auto& [session, value] : fleet.sessions) {
+    members.insert(session);
+  }
+  contact->heard = std::max(contact->heard, fleet.revision);
+  const Members& before = CurrentMembers(*contact);
+  if (!contact->memberships.empty() && before == members) {
+    return;
+  }
+  std::set_difference(
+      before.begin(), before.end(), members.begin(), members.end(),
+      std::inserter(contact->dropped, contact->dropped.end()));
+  contact->memberships[fleet.revision] = std::move(members);
+  Prune(contact);
+}
+
+Time ContactDeadline(const Contact& contact) {
+  const std::optional<Time> sent =
+      std::max(contact.table_sent, MajoritySent(contact));
+  return sent ? *sent + kContactSpan : Time{};
+}
+
+bool MayAct(const Contact& contact, Revision applied, Time now) {
+  return WhyNotActing(contact, applied, now).empty();
+}
+
+std::string_view WhyNotActing(const Contact& contact,
+                              Revision applied,
+                              Time now) {
+  if (!CurrentMembers(contact).contains(contact.session)) {
+    return "not-a-member";
+  }
+  if (applied < contact.heard) {
+    return "behind";
+  }
+  return now < ContactDeadline(contact) ? "" : "no-contact";
+}
+
+void AdvanceInForce(Revision applied, Time now, Contact* contact) {
+  for (Revision candidate : Candidates(*contact, applied)) {
+    const Revision newest = contact->acknowledged.empty()
+                                ? contact->in_force
+                                : contact->acknowledged.back().revision;
+    if (candidate <= newest) {
+      break;
+    }
+    if (IsAcknowledged(*contact, candidate)) {
+      contact->acknowledged.push_back({candidate, now});
+      break;
+    }
+  }
+  Revision in_force = contact->in_force;
+  for (const Acknowledged& entry : contact->acknowledged) {
+    if (now >= entry.at + kContactSpan + kDriftMargin) {
+      in_force = std::max(in_force, entry.revision);
+    }
+  }
+  NoteInForce(in_force, contact);
+}
+
+bool IsActingOwner(const Contact& contact, const Claim& claim) {
+  return claim.owner == contact.session && contact.in_force >= claim.wait_for;
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/dispatcher.cc
@@ -0,0 +1,662 @@
+// A request passes these stages, each of which can refuse it as "not run":
+// checks, queue, connection. Once a byte may have been sent the run state is
+// kUnknown until the answer is whole.
+#include "rosemaryhook/dispatcher.h"
+
+#include <algorithm>
+
+#include "rosemaryhook/admission.h"
+#include "rosemaryhook/host.h"
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+constexpr Duration kReportLimit = std::chrono::seconds(1);
+constexpr int kFailedReportsToClose = 2;
+constexpr Duration kLoadLimit = std::chrono::seconds(30);
+constexpr Duration kProbeLimit = std::chrono::seconds(1);
+constexpr Duration kProbePause = std::chrono::milliseconds(100);
+constexpr int kCrashProbes = 3;
+constexpr std::string_view kBehind = "behind";
+constexpr Duration kBehindPause = std::chrono::milliseconds(2);
+constexpr Duration kBehindLimit = std::chrono::seconds(2);
+
+using OwnedPtr = std::shared_ptr<OwnedBackend>;
+using HostPtr = std::shared_ptr<Host>;
+
+DispatchFailure NotRun(const OwnedBackend* owned,
+                       Step step,
+                       std::string code,
+                       std::string message) {
+  DispatchFailure failure;
+  failure.error = {step, owned == nullptr ? "" : owned->name,
+                   std::move(message)};
+  failure.code = std::move(code);
+  return failure;
+}
+
+// Why this host may not send to `owned` now, empty if it may.
+std::string WhyClosed(const Host& host, const OwnedBackend& owned) {
+  const std::string_view why = WhyNotActing(host);
+  if (!why.empty()) {
+    return std::string(why);
+  }
+  const auto claim =
+      host.board.fleet.claims.find(BackendResource(owned.name));
+  if (owned.lost || host.stopping || claim == host.board.fleet.claims.end() ||
+      !IsActingOwner(host.board.contact, claim->second)) {
+    return "not-owner";
+  }
+  return IsOpen(host.board.fleet, owned.state.config) ? "" : "zone-out";
+}
+
+HttpCall OrderCall(const OwnedBackend& owned,
+                   const char* target,
+                   const std::string& adapter,
+                   Duration limit) {
+  HttpCall call;
+  call.address = owned.state.config.address;
+  call.target = target;
+  call.headers = {{"content-type", "application/json"}};
+  call.body =
+      Json({{"lora_name", adapter}, {"fence", owned.state.fence}}).dump();
+  call.deadline = Now() + limit;
+  call.fresh_connection = true;
+  return call;
+}
+
+bool IsOk(const Result<HttpAnswer>& fetched) {
+  const auto* answer = std::get_if<HttpAnswer>(&fetched);
+  return answer != nullptr && answer->status == 200;
+}
+
+std::string WhyFailed(const Result<HttpAnswer>& fetched) {
+  if (const Error* error = Failure(fetched)) {
+    return error->message;
+  }
+  return "status " + std::to_string(std::get<HttpAnswer>(fetched).status);
+}
+
+// Loads draw one token each from the weight store's shared rate.
+awaitable<void> CarryOutLoad(HostPtr host, OwnedPtr owned, std::string adapter) {
+  const Time begun = Now();
+  const Time deadline = begun + kLoadLimit;
+  const bool admitted = co_await AdmitLoad(host, deadline);
+  bool loaded = false;
+  std::string why = "weight-store-busy";
+  if (admitted) {
+    why = WhyClosed(*host, *owned);
+    if (why.empty()) {
+      auto fetched = co_await Fetch(
+          &host->pool, OrderCall(*owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
+      loaded = IsOk(fetched);
+      why = loaded ? "ordered" : WhyFailed(fetched);
+    }
+  }
+  const Time now = Now();
+  Log("load", {{"backend", owned->name},
+               {"adapter", adapter},
+               {"loaded", loaded ? "yes" : "no"},
+               {"why", why},
+               {"ms", Millis(now - begun)}});
+  host->board.metrics.Count("loads_total",
+                            loaded ? "result=\"ok\"" : "result=\"failed\"");
+  host->board.metrics.Observe(
+      "load_seconds", std::chrono::duration<double>(now - begun).count());
+  NoteLoaded(adapter, loaded, now, &owned->state);
+  owned->pump.Notify();
+}
+
+awaitable<void> CarryOutEvict(HostPtr host,
+                              OwnedPtr owned,
+                              std::string adapter,
+                              std::string why) {
+  std::string closed = WhyClosed(*host, *owned);
+  bool evicted = false;
+  if (closed.empty()) {
+    auto fetched = co_await Fetch(
+        &host->pool, OrderCall(*owned, "/v1/unload_lora_adapter", adapter,
+                               kEvictLimit));
+    evicted = IsOk(fetched);
+    closed = evicted ? why : WhyFailed(fetched);
+  }
+  Log("evict", {{"backend", owned->name},
+                {"adapter", adapter},
+                {"evicted", evicted ? "yes" : "no"},
+                {"why", closed}});
+  NoteEvicted(adapter, evicted, Now(), &owned->state);
+  owned->pump.Notify();
+}
+
+void WakeWaiter(const OwnedPtr& owned, const Action& action) {
+  const auto found = owned->waiters.find(action.request);
+  if (found == owned->waiters.end()) {
+    return;
+  }
+  if (action.kind == ActionKind::kStart) {
+    found->second->started = true;
+  } else {
+    found->second->refused = action.why;
+  }
+  found->second->signal.Notify();
+  owned->waiters.erase(found);
+}
+
+void CarryOut(const HostPtr& host, const OwnedPtr& owned, const Action& action) {
+  switch (action.kind) {
+    case ActionKind::kStart:
+    case ActionKind::kRefuse:
+      WakeWaiter(owned, action);
+      return;
+    case ActionKind::kLoad:
+      asio::co_spawn(host->io, CarryOutLoad(host, owned, action.adapter),
+                     asio::detached);
+      return;
+    case ActionKind::kEvict:
+      asio::co_spawn(host->io,
+                     CarryOutEvict(host, owned, action.adapter, action.why),
+                     asio::detached);
+      return;
+  }
+}
+
+void RefuseAll(const OwnedPtr& owned, const std::string& why) {
+  auto waiters = std::move(owned->waiters);
+  owned->waiters.clear();
+  owned->state.queue.clear();
+  for (const auto& [id, waiter] : waiters) {
+    waiter->refused = why;
+    waiter->signal.Notify();
+  }
+}
+
+// Schedules whenever something changed. The loop ends when the backend server
+// is lost to another owner.
+awaitable<void> PumpLoop(HostPtr host, OwnedPtr owned) {
+  while (!owned->lost && !host->stopping) {
+    const Time now = Now();
+    const std::string closed = WhyClosed(*host, *owned);
+    if (closed.empty()) {
+      for (const Action& action : Schedule(now, &owned->state)) {
+        CarryOut(host, owned, action);
+      }
+    } else if (closed != kBehind) {
+      RefuseAll(owned, closed);
+    }
+    const Time wake = NextWake(owned->state, now);
+    co_await owned->pump.Wait(
+        closed == kBehind ? std::min(wake, now + kBehindPause) : wake);
+  }
+  RefuseAll(owned, "not-owner");
+}
+
+awaitable<std::optional<LoadReport>> FetchReport(HostPtr host,
+                                                 std::string address) {
+  HttpCall call;
+  call.address = std::move(address);
+  call.method = "GET";
+  call.target = "/v1/load";
+  call.deadline = Now() + kReportLimit;
+  call.fresh_connection = true;
+  const Time asked = Now();
+  auto fetched = co_await Fetch(&host->pool, std::move(call));
+  if (!IsOk(fetched)) {
+    co_return std::nullopt;
+  }
+  const Json json =
+      Json::parse(std::get<HttpAnswer>(fetched).body, nullptr, false);
+  try {
+    LoadReport report;
+    json.at("incarnation").get_to(report.incarnation);
+    json.at("running").get_to(report.running);
+    json.at("adapters").get_to(report.adapters);
+    report.measured_after = asked - kReportLag;
+    co_return report;
+  } catch (const Json::exception&) {
+    co_return std::nullopt;
+  }
+}
+
+void TakeReport(const OwnedPtr& owned,
+                const std::optional<LoadReport>& report) {
+  if (!report) {
+    if (++owned->failed_reports >= kFailedReportsToClose && owned->reachable) {
+      owned->reachable = false;
+      Log("backend_unreachable", {{"backend", owned->name}});
+    }
+    return;
+  }
+  if (!owned->reachable) {
+    Log("backend_reachable", {{"backend", owned->name}});
+  }
+  owned->failed_reports = 0;
+  owned->reachable = true;
+  if (report->incarnation != owned->state.incarnation) {
+    Log("backend_incarnation", {{"backend", owned->name},
+                                {"incarnation", report->incarnation},
+                                {"window", 1}});
+  }
+  NoteReport(*report, Now(), &owned->state);
+  owned->pump.Notify();
+}
+
+awaitable<void> ReportLoop(HostPtr host, OwnedPtr owned) {
+  while (!owned->lost && !host->stopping) {
+    const auto report =
+        co_await FetchReport(host, owned->state.config.address);
+    if (!owned->lost) {
+      TakeReport(owned, report);
+    }
+    co_await Sleep(kReportInterval);
+  }
+}
+
+bool IsTimeout(const Error& error) {
+  return error.message == beast::error_code(beast::error::timeout).message();
+}
+
+// Whether the backend server has crashed since `incarnation`: its port refuses
+// connections, or another incarnation answers. A silent one has not crashed as
+// far as can be told.
+awaitable<bool> HasCrashed(HostPtr host,
+                           std::string address,
+                           std::string incarnation) {
+  for (int probe = 0; probe < kCrashProbes; ++probe) {
+    HttpCall call;
+    call.address = address;
+    call.method = "GET";
+    call.target = "/v1/load";
+    call.deadline = Now() + kProbeLimit;
+    call.fresh_connection = true;
+    auto fetched = co_await Fetch(&host->pool, std::move(call));
+    if (const auto* answer = std::get_if<HttpAnswer>(&fetched)) {
+      const Json json = Json::parse(answer->body, nullptr, false);
+      co_return json.is_object() &&
+          json.value("incarnation", incarnation) != incarnation;
+    }
+    const Error& error = std::get<Error>(fetched);
+    if (IsTimeout(error)) {
+      co_return false;
+    }
+    if (error.step == Step::kConnect) {
+      co_return true;
+    }
+    // The connection broke: the process may be about to end.
+    co_await Sleep(kProbePause);
+  }
+  co_return false;
+}
+
+// A request's time on the backend server; ends its place in `running`.
+struct Turn {
+  HostPtr host;
+  OwnedPtr owned;
+  uint64_t id = 0;
+
+  void End(Outcome outcome) const {
+    NoteFinished(id, outcome, Now(), &owned->state);
+    owned->pump.Notify();
+  }
+};
+
+awaitable<std::optional<DispatchFailure>> AwaitTurn(
+    OwnedPtr owned,
+    uint64_t id,
+    std::shared_ptr<Waiter> waiter,
+    Time deadline) {
+  while (!waiter->started && waiter->refused.empty()) {
+    co_await waiter->signal.Wait(deadline);
+    if (Now() >= deadline && !waiter->started && waiter->refused.empty()) {
+      waiter->refused = "deadline-in-queue";
+      owned->waiters.erase(id);
+      Dequeue(id, &owned->state);
+    }
+  }
+  if (!waiter->refused.empty()) {
+    const std::string code =
+        waiter->refused == "deadline-in-queue" ? "timeout_in_queue"
+                                               : "refused_by_owner";
+    co_return NotRun(owned.get(), Step::kQueue, code, waiter->refused);
+  }
+  co_return std::nullopt;
+}
+
+bool IsHopByHop(const std::string& name) {
+  constexpr std::array<std::string_view, 7> kNames{
+      "connection", "keep-alive",        "transfer-encoding", "content-length",
+      "upgrade",    "proxy-authenticate", "trailer"};
+  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view n) {
+    return beast::iequals({n.data(), n.size()}, name);
+  });
+}
+
+AnswerHead MakeHead(const HttpHead& head) {
+  AnswerHead answer{head.status, {}};
+  for (const auto& header : head.headers) {
+    if (!IsHopByHop(header.first)) {
+      answer.headers.push_back(header);
+    }
+  }
+  return answer;
+}
+
+HttpCall MakeCall(const Host& host,
+                  const OwnedBackend& owned,
+                  const DispatchRequest& request) {
+  HttpCall call;
+  call.address = owned.state.config.address;
+  call.method = request.method;
+  call.target = request.target;
+  call.headers = request.headers;
+  call.body = request.body;
+  call.deadline = request.deadline;
+  call.progress_limit = host.board.settings.silence_limit;
+  call.fresh_connection = !request.repeatable;
+  return call;
+}
+
+// Passes an answer on while checking that the adapter that was asked for made
+// it. Nothing goes out before the adapter's name has been seen.
+class AnswerRelay {
+ public:
+  AnswerRelay(const DispatchRequest& request, const AnswerSink& sink)
+      : adapter_(request.adapter), sink_(sink) {}
+
+  void TakeHead(AnswerHead head, bool is_stream) {
+    head_ = std::move(head);
+    scan_.is_stream = is_stream;
+    checks_adapter_ = !adapter_.empty() && head_.status == 200;
+  }
+
+  // False if nobody listens any more or the adapter is wrong.
+  awaitable<bool> TakeChunk(std::string chunk) {
+    if (checks_adapter_) {
+      ScanAnswer(chunk, &scan_);
+    }
+    held_ += chunk;
+    const bool is_known = !checks_adapter_ || !scan_.model.empty();
+    co_return !is_known || co_await Release();
+  }
+
+  awaitable<bool> Finish() {
+    if (checks_adapter_) {
+      FinishScan(&scan_);
+    }
+    co_return co_await Release();
+  }
+
+  bool is_wrong_adapter() const {
+    return checks_adapter_ && scan_.model != adapter_;
+  }
+  bool head_sent() const { return head_sent_; }
+  bool is_cut() const {
+    return checks_adapter_ && scan_.is_stream && !scan_.ended;
+  }
+  int64_t tokens() const { return scan_.total_tokens; }
+
+ private:
+  awaitable<bool> Release() {
+    if (is_wrong_adapter()) {
+      co_return false;
+    }
+    if (!head_sent_) {
+      head_sent_ = true;
+      if (!co_await sink_.head(head_)) {
+        co_return false;
+      }
+    }
+    std::string data = std::move(held_);
+    held_.clear();
+    co_return data.empty() || co_await sink_.chunk(std::move(data));
+  }
+
+  std::string adapter_;
+  const AnswerSink& sink_;
+  AnswerHead head_;
+  AnswerScan scan_;
+  std::string held_;
+  bool checks_adapter_ = false;
+  bool head_sent_ = false;
+};
+
+DispatchFailure AfterSend(const OwnedBackend& owned,
+                          const Error& error,
+                          const std::string& code,
+                          const AnswerRelay& relay) {
+  DispatchFailure failure;
+  failure.error = error;
+  failure.error.peer = owned.name;
+  failure.code = code;
+  failure.run = RunState::kUnknown;
+  failure.head_sent = relay.head_sent();
+  return failure;
+}
+
+// Reads the body to its end.
+awaitable<DispatchResult> RelayBody(const OwnedPtr& owned,
+                                    HttpExchange& exchange,
+                                    AnswerRelay& relay) {
+  while (true) {
+    auto chunk = co_await exchange.ReadChunk();
+    if (const Error* error = Failure(chunk)) {
+      co_return AfterSend(*owned, *error, "answer_cut", relay);
+    }
+    std::string& data = std::get<std::string>(chunk);
+    const bool is_end = data.empty();
+    const bool goes_on = is_end ? co_await relay.Finish()
+                                : co_await relay.TakeChunk(std::move(data));
+    if (relay.is_wrong_adapter() && !goes_on) {
+      exchange.Cancel();
+      co_return AfterSend(*owned,
+                          {Step::kReceive, "", "another adapter answered"},
+                          "wrong_adapter", relay);
+    }
+    if (!goes_on) {
+      exchange.Cancel();
+      co_return AfterSend(*owned, {Step::kSend, "", "the caller has gone"},
+                          "caller_gone", relay);
+    }
+    if (is_end && relay.is_cut()) {
+      co_return AfterSend(
+          *owned, {Step::kReceive, "", "the stream ended before [DONE]"},
+          "answer_cut", relay);
+    }
+    if (is_end) {
+      co_return AnswerEnd{relay.tokens()};
+    }
+  }
+}
+
+// A runner that does not hold the adapter, or that says it is overloaded, has
+// not run the request.
+std::optional<DispatchFailure> RunnerRefusal(const OwnedPtr& owned,
+                                             const DispatchRequest& request,
+                                             int status) {
+  if (request.adapter.empty()) {
+    return std::nullopt;
+  }
+  if (status == 404) {
+    owned->state.adapters.erase(request.adapter);
+    return NotRun(owned.get(), Step::kReceive, "adapter_not_loaded",
+                  "the runner does not hold the adapter");
+  }
+  if (status == 429 || status == 503) {
+    return NotRun(owned.get(), Step::kReceive, "runner_overloaded",
+                  "the runner answered " + std::to_string(status));
+  }
+  return std::nullopt;
+}
+
+awaitable<DispatchResult> SendAndRelay(HostPtr host,
+                                       OwnedPtr owned,
+                                       const DispatchRequest& request,
+                                       const AnswerSink& sink) {
+  HttpExchange exchange(&host->pool);
+  AnswerRelay relay(request, sink);
+  auto started = co_await exchange.Start(MakeCall(*host, *owned, request));
+  if (const Error* error = Failure(started)) {
+    if (!exchange.may_have_reached()) {
+      co_return NotRun(owned.get(), error->step, "backend_unreachable",
+                       error->message);
+    }
+    co_return AfterSend(*owned, *error, "no_answer", relay);
+  }
+  const HttpHead& head = std::get<HttpHead>(started);
+  if (auto refusal = RunnerRefusal(owned, request, head.status)) {
+    exchange.Cancel();
+    co_return *refusal;
+  }
+  const bool is_stream =
+      HeaderOf(head.headers, "content-type").starts_with("text/event-stream");
+  relay.TakeHead(MakeHead(head), is_stream);
+  co_return co_await RelayBody(owned, exchange, relay);
+}
+
+Outcome OutcomeOf(const DispatchResult& result) {
+  const auto* failure = std::get_if<DispatchFailure>(&result);
+  if (failure == nullptr) {
+    return Outcome::kWhole;
+  }
+  const bool is_neutral = failure->code == "caller_gone" ||
+                          failure->code == "adapter_not_loaded" ||
+                          failure->code == "refused_by_owner";
+  return is_neutral ? Outcome::kNeutral : Outcome::kFailed;
+}
+
+awaitable<DispatchResult> RunTurn(HostPtr host,
+                                  OwnedPtr owned,
+                                  const DispatchRequest& request,
+                                  const AnswerSink& sink) {
+  // The clock is read again here: the process may have been paused between
+  // the decision and this act.
+  co_await AwaitActing(host);
+  const std::string closed = WhyClosed(*host, *owned);
+  if (!closed.empty()) {
+    co_return NotRun(owned.get(), Step::kQueue, "refused_by_owner", closed);
+  }
+  if (sink.is_gone()) {
+    co_return NotRun(owned.get(), Step::kQueue, "caller_gone",
+                     "the caller has gone");
+  }
+  const std::string incarnation = owned->state.incarnation;
+  DispatchResult result = co_await SendAndRelay(host, owned, request, sink);
+  auto* failure = std::get_if<DispatchFailure>(&result);
+  const bool may_have_crashed =
+      failure != nullptr && failure->run == RunState::kUnknown &&
+      (failure->code == "no_answer" || failure->code == "answer_cut");
+  if (may_have_crashed && owned->state.config.kind == BackendKind::kRunner) {
+    failure->crashed = co_await HasCrashed(
+        host, owned->state.config.address, incarnation);
+  }
+  co_return result;
+}
+
+}  // namespace
+
+awaitable<std::string_view> AwaitActing(HostPtr host) {
+  const Time deadline = Now() + kBehindLimit;
+  while (WhyNotActing(*host) == kBehind && Now() < deadline) {
+    co_await Sleep(kBehindPause);
+  }
+  co_return WhyNotActing(*host);
+}
+
+awaitable<DispatchResult> Dispatch(HostPtr host,
+                                   DispatchRequest request,
+                                   AnswerSink sink) {
+  const auto found = host->owned.find(request.backend);
+  if (found == host->owned.end()) {
+    co_return NotRun(nullptr, Step::kQueue, "refused_by_owner", "not-owner");
+  }
+  const OwnedPtr owned = found->second;
+  co_await AwaitActing(host);
+  const std::string closed = WhyClosed(*host, *owned);
+  if (!closed.empty() || !owned->reachable) {
+    co_return NotRun(owned.get(), Step::kQueue, "refused_by_owner",
+                     closed.empty() ? "unreachable" : closed);
+  }
+  static uint64_t next_id = 0;
+  const Turn turn{host, owned, ++next_id};
+  auto waiter = std::make_shared<Waiter>(host->io.get_executor());
+  const QueuedRequest queued{turn.id,        request.customer,
+                             request.adapter, request.cost,
+                             request.weight,  Now(),
+                             request.deadline, request.alone};
+  if (!Enqueue(queued, &owned->state)) {
+    co_return NotRun(owned.get(), Step::kQueue, "queue_full",
+                     "the queue is full");
+  }
+  owned->waiters[turn.id] = waiter;
+  owned->pump.Notify();
+  if (auto refused =
+          co_await AwaitTurn(owned, turn.id, waiter, request.deadline)) {
+    co_return *refused;
+  }
+  host->board.metrics.Observe(
+      "queue_seconds",
+      std::chrono::duration<double>(Now() - queued.arrived).count());
+  DispatchResult result = co_await RunTurn(host, owned, request, sink);
+  turn.End(OutcomeOf(result));
+  const auto* failure = std::get_if<DispatchFailure>(&result);
+  Log("dispatched",
+      {{"backend", owned->name},
+       {"customer", request.customer},
+       {"adapter", request.adapter},
+       {"result", failure == nullptr ? "whole" : failure->code},
+       {"run", RunStateName(failure == nullptr ? RunState::kRan
+                                               : failure->run)},
+       {"waited_ms", Millis(Now() - queued.arrived)},
+       {"why", failure == nullptr ? "" : failure->error.message}});
+  co_return result;
+}
+
+void SyncOwned(const std::shared_ptr<Host>& host) {
+  const FleetState& fleet = host->board.fleet;
+  for (auto it = host->owned.begin(); it != host->owned.end();) {
+    const auto claim = fleet.claims.find(BackendResource(it->first));
+    const auto backend = fleet.backends.find(it->first);
+    const bool is_kept =
+        claim != fleet.claims.end() && backend != fleet.backends.end() &&
+        IsActingOwner(host->board.contact, claim->second) &&
+        claim->second.fence == it->second->state.fence &&
+        backend->second.address == it->second->state.config.address;
+    if (is_kept) {
+      it->second->state.config = backend->second;
+      ++it;
+    } else {
+      Log("owner_lost", {{"backend", it->first}});
+      it->second->lost = true;
+      it->second->pump.Notify();
+      it = host->owned.erase(it);
+    }
+  }
+  for (const auto& [name, backend] : fleet.backends) {
+    const auto claim = fleet.claims.find(BackendResource(name));
+    if (host->owned.contains(name) || claim == fleet.claims.end() ||
+        !IsActingOwner(host->board.contact, claim->second)) {
+      continue;
+    }
+    auto owned = std::make_shared<OwnedBackend>(host->io.get_executor());
+    owned->name = name;
+    owned->state.config = backend;
+    owned->state.fence = claim->second.fence;
+    owned->state.taken_over = claim->second.wait_for > 0;
+    owned->state.taken_over_at = Now();
+    owned->state.quiet_until =
+        owned->state.taken_over && !backend.checks_fencing
+            ? Now() + kEvictLimit
+            : Time{};
+    host->owned[name] = owned;
+    Log("owner", {{"backend", name},
+                  {"fence", claim->second.fence},
+                  {"why", owned->state.taken_over ? "takeover" : "free"}});
+    asio::co_spawn(host->io, PumpLoop(host, owned), asio::detached);
+    if (backend.kind == BackendKind::kRunner) {
+      asio::co_spawn(host->io, ReportLoop(host, owned), asio::detached);
+    }
+  }
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/host.h
@@ -0,0 +1,70 @@
+// The running parts of one daemon around its blackboard: connections, owned
+// backend servers, loops. One thread uses it all.
+#ifndef ROSEMARYHOOK_HOST_H_
+#define ROSEMARYHOOK_HOST_H_
+
+#include <boost/asio.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "rosemaryhook/blackboard.h"
+#include "rosemaryhook/dispatcher.h"
+#include "rosemaryhook/http.h"
+#include "rosemaryhook/peer_link.h"
+#include "rosemaryhook/retries.h"
+#include "rosemaryhook/signal.h"
+#include "rosemaryhook/table.h"
+
+namespace rosemaryhook {
+
+// Another session and the connection to it.
+struct Peer {
+  Peer(asio::any_io_executor executor, const std::string& address)
+      : link(std::move(executor), address) {}
+
+  PeerLink link;
+  bool is_asking = false;
+  bool is_draining = false;
+};
+
+struct Host {
+  explicit Host(asio::io_context& context)
+      : io(context), sync_signal(context.get_executor()) {}
+
+  asio::io_context& io;
+  Blackboard board;
+  HttpPool pool;
+  Table table;
+  std::map<std::string, std::shared_ptr<Peer>> peers;  // by session
+  std::map<std::string, std::shared_ptr<OwnedBackend>> owned;  // by name
+  std::deque<Change> recent;  // newest changes, for peers that lag
+  Revision table_in_force = 0;
+  Revision snapshot = 0;
+  Time table_good_since;  // reads have been answered without a gap since
+  Time in_force_moved;
+  Signal sync_signal;  // wakes the loop that catches up
+  bool stopping = false;
+  // Cuts for tests, set only if the settings allow them.
+  std::set<std::string> refused_hosts;
+  RetryBudget retries;
+};
+
+// Whether this host may act now.
+inline bool MayAct(const Host& host) {
+  return MayAct(host.board.contact, host.board.fleet.revision, Now());
+}
+
+inline std::string_view WhyNotActing(const Host& host) {
+  return WhyNotActing(host.board.contact, host.board.fleet.revision, Now());
+}
+
+// Waits while this host is only behind, which lasts one read of the table, and
+// returns why it may not act, empty if it may.
+awaitable<std::string_view> AwaitActing(std::shared_ptr<Host> host);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_HOST_H_
--- /dev/null
+++ b/rosemaryhook/http.h
@@ -0,0 +1,184 @@
+// HTTP/1.1 over Boost.Beast: a server and a client as coroutines.
+//
+//   asio::co_spawn(io, ServeHttp(endpoint, limits, handler), detached);
+//
+//   HttpExchange exchange(&pool);
+//   auto head = co_await exchange.Start(call);
+//   auto chunk = co_await exchange.ReadChunk();   // "" at the end
+//
+// Everything runs on one io_context thread. Server memory is bounded by
+// HttpLimits for each connection, and connections by `max_connections`.
+#ifndef ROSEMARYHOOK_HTTP_H_
+#define ROSEMARYHOOK_HTTP_H_
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "rosemaryhook/dispatch.h"
+#include "rosemaryhook/error.h"
+#include "rosemaryhook/time.h"
+
+namespace rosemaryhook {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::awaitable;
+using asio::ip::tcp;
+
+
+
+struct HttpLimits {
+  size_t body_bytes = 1 << 20;
+  size_t header_bytes = 16 << 10;
+  Duration header_timeout = std::chrono::seconds(10);
+  Duration idle_timeout = std::chrono::seconds(60);
+  Duration write_timeout = std::chrono::seconds(30);
+  size_t max_connections = 4096;
+};
+
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  http::fields fields;
+  std::string body;
+};
+
+// Value of a header, empty if there is none.
+std::string HeaderOf(const HttpRequest& request, std::string_view name);
+
+// Writes one response. Send writes it whole; Begin, Chunk and End stream it.
+// Each returns false once the caller's connection is gone.
+class HttpReply {
+ public:
+  HttpReply(beast::tcp_stream* stream, const HttpLimits& limits, bool keep);
+
+  awaitable<bool> Send(int status, Headers headers, std::string body);
+  awaitable<bool> Begin(int status, Headers headers);
+  awaitable<bool> Chunk(std::string data);
+  awaitable<bool> End();
+
+  // Closes the connection so that the caller sees a cut answer, never a whole
+  // one.
+  void Abort();
+
+  bool begun() const { return begun_; }
+  bool keep() const { return keep_ && ok_; }
+
+ private:
+  void ExpireWrites();
+
+  beast::tcp_stream* stream_;
+  HttpLimits limits_;
+  bool keep_;
+  bool begun_ = false;
+  bool ok_ = true;
+};
+
+using HttpHandler =
+    std::function<awaitable<void>(const HttpRequest&, HttpReply&)>;
+
+// Body for a request that the server refuses before the handler sees it.
+using HttpRefusal = std::function<std::pair<Headers, std::string>(
+    int status, const std::string& message)>;
+
+// Open connections of a server; Shutdown ends it without cutting a response.
+struct HttpServer {
+  HttpLimits limits;
+  HttpHandler handler;
+  HttpRefusal refusal;
+  std::unique_ptr<tcp::acceptor> acceptor;
+  size_t connections = 0;
+  size_t active = 0;  // connections with a request in hand
+  bool closing = false;
+};
+
+// Binds `address` ("ip:port"), or says why it cannot.
+Result<Done> Listen(asio::io_context& io,
+                    const std::string& address,
+                    HttpServer* server);
+
+// Accepts connections until the acceptor is closed.
+awaitable<void> Serve(std::shared_ptr<HttpServer> server);
+
+Result<tcp::endpoint> ParseAddress(const std::string& address);
+
+struct HttpCall {
+  std::string address;  // ip:port
+  std::string method = "POST";
+  std::string target;
+  Headers headers;
+  std::string body;
+  Time deadline;            // for the whole exchange
+  Duration progress_limit{};  // longest silence, 0 for none but the deadline
+  bool fresh_connection = false;  // for calls that may not be repeated
+};
+
+struct HttpHead {
+  int status = 0;
+  Headers headers;
+};
+
+// Idle connections, newest last, by address.
+struct HttpPool {
+  struct Idle {
+    std::unique_ptr<beast::tcp_stream> stream;
+    Time until;
+  };
+  std::map<std::string, std::vector<Idle>> idle;
+};
+
+// One request and its response.
+class HttpExchange {
+ public:
+  explicit HttpExchange(HttpPool* pool) : pool_(pool) {}
+
+  awaitable<Result<HttpHead>> Start(HttpCall call);
+
+  // The next part of the body; empty at its end.
+  awaitable<Result<std::string>> ReadChunk();
+
+  // Whether any byte of the request may have reached the other side.
+  bool may_have_reached() const { return may_have_reached_; }
+
+  // Closes the connection. Ends a running operation with an error.
+  void Cancel();
+
+ private:
+  awaitable<Result<Done>> Connect();
+  void Expire();
+  Error MakeError(Step step, const beast::error_code& ec) const;
+
+  HttpPool* pool_;
+  HttpCall call_;
+  std::unique_ptr<beast::tcp_stream> stream_;
+  beast::flat_buffer buffer_;
+  std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
+  bool may_have_reached_ = false;
+  bool reused_ = false;
+};
+
+struct HttpAnswer {
+  int status = 0;
+  Headers headers;
+  std::string body;
+};
+
+// A whole exchange, the body gathered up to `max_body` bytes.
+awaitable<Result<HttpAnswer>> Fetch(HttpPool* pool,
+                                    HttpCall call,
+                                    size_t max_body = 64 << 20);
+
+std::string HeaderOf(const Headers& headers, std::string_view name);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_HTTP_H_
--- /dev/null
+++ b/rosemaryhook/http_client.cc
@@ -0,0 +1,193 @@
+// Connections are kept per address and used again for calls that may be
+// repeated. A call that may not be repeated opens a fresh connection, because
+// a kept one can have gone silent without either side knowing.
+#include <algorithm>
+#include <array>
+
+#include "rosemaryhook/http.h"
+
+namespace rosemaryhook {
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kIdleLimit = std::chrono::seconds(20);
+constexpr Duration kConnectLimit = std::chrono::seconds(2);
+constexpr size_t kMaxIdle = 64;
+constexpr size_t kChunkBytes = 16 << 10;
+
+// Whether a kept connection is still open with nothing to read. Anything to
+// read, its end included, means that the other side is done with it.
+bool IsQuiet(tcp::socket* socket) {
+  char byte = 0;
+  beast::error_code ec;
+  socket->non_blocking(true, ec);
+  socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+std::unique_ptr<beast::tcp_stream> TakeIdle(HttpPool* pool,
+                                            const std::string& address) {
+  const auto found = pool->idle.find(address);
+  if (found == pool->idle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  std::erase_if(idle, [now = Now()](const auto& i) { return i.until <= now; });
+  if (idle.empty()) {
+    return nullptr;
+  }
+  auto stream = std::move(idle.back().stream);
+  idle.pop_back();
+  return IsQuiet(&stream->socket()) ? std::move(stream) : nullptr;
+}
+
+}  // namespace
+
+std::string HeaderOf(const Headers& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (beast::iequals({key.data(), key.size()}, {name.data(), name.size()})) {
+      return value;
+    }
+  }
+  return {};
+}
+
+Error HttpExchange::MakeError(Step step, const beast::error_code& ec) const {
+  return Error{step, call_.address, ec.message()};
+}
+
+void HttpExchange::Expire() {
+  Duration left = std::max(call_.deadline - Now(), Duration(1));
+  if (call_.progress_limit > Duration::zero()) {
+    left = std::min(left, call_.progress_limit);
+  }
+  stream_->expires_after(left);
+}
+
+awaitable<Result<Done>> HttpExchange::Connect() {
+  const auto endpoint = ParseAddress(call_.address);
+  if (const Error* error = Failure(endpoint)) {
+    co_return *error;
+  }
+  stream_ = std::make_unique<beast::tcp_stream>(
+      co_await asio::this_coro::executor);
+  stream_->expires_after(
+      std::clamp(call_.deadline - Now(), Duration(1), kConnectLimit));
+  auto [ec] = co_await stream_->async_connect(
+      std::get<tcp::endpoint>(endpoint), kToTuple);
+  if (ec) {
+    co_return MakeError(Step::kConnect, ec);
+  }
+  beast::error_code ignored;
+  stream_->socket().set_option(tcp::no_delay(true), ignored);
+  co_return Done{};
+}
+
+awaitable<Result<HttpHead>> HttpExchange::Start(HttpCall call) {
+  call_ = std::move(call);
+  if (!call_.fresh_connection) {
+    stream_ = TakeIdle(pool_, call_.address);
+  }
+  reused_ = stream_ != nullptr;
+  if (!stream_) {
+    const auto connected = co_await Connect();
+    if (const Error* error = Failure(connected)) {
+      co_return *error;
+    }
+  }
+  http::request<http::string_body> request;
+  request.method_string(call_.method);
+  request.target(call_.target);
+  request.version(11);
+  request.set(http::field::host, call_.address);
+  for (const auto& [name, value] : call_.headers) {
+    request.set(name, value);
+  }
+  request.body() = std::move(call_.body);
+  request.prepare_payload();
+  Expire();
+  may_have_reached_ = true;
+  auto [write_ec, written] =
+      co_await http::async_write(*stream_, request, kToTuple);
+  if (write_ec) {
+    co_return MakeError(Step::kSend, write_ec);
+  }
+  parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
+  parser_->body_limit(boost::none);
+  Expire();
+  auto [read_ec, read] =
+      co_await http::async_read_header(*stream_, buffer_, *parser_, kToTuple);
+  if (read_ec) {
+    co_return MakeError(Step::kReceive, read_ec);
+  }
+  HttpHead head;
+  head.status = static_cast<int>(parser_->get().result_int());
+  for (const auto& field : parser_->get()) {
+    head.headers.emplace_back(field.name_string(), field.value());
+  }
+  co_return head;
+}
+
+awaitable<Result<std::string>> HttpExchange::ReadChunk() {
+  std::string chunk(kChunkBytes, '\0');
+  while (!parser_->is_done()) {
+    auto& body = parser_->get().body();
+    body.data = chunk.data();
+    body.size = chunk.size();
+    Expire();
+    auto [ec, n] =
+        co_await http::async_read_some(*stream_, buffer_, *parser_, kToTuple);
+    if (ec && ec != http::error::need_buffer) {
+      co_return MakeError(Step::kReceive, ec);
+    }
+    const size_t size = chunk.size() - body.size;
+    if (size > 0) {
+      chunk.resize(size);
+      co_return chunk;
+    }
+  }
+  if (parser_->get().keep_alive() && buffer_.size() == 0 && stream_) {
+    auto& idle = pool_->idle[call_.address];
+    if (idle.size() < kMaxIdle) {
+      stream_->expires_never();
+      idle.push_back({std::move(stream_), Now() + kIdleLimit});
+    }
+  }
+  co_return std::string();
+}
+
+void HttpExchange::Cancel() {
+  if (stream_) {
+    stream_->close();
+  }
+}
+
+awaitable<Result<HttpAnswer>> Fetch(HttpPool* pool,
+                                    HttpCall call,
+                                    size_t max_body) {
+  HttpExchange exchange(pool);
+  const std::string address = call.address;
+  auto started = co_await exchange.Start(std::move(call));
+  if (const Error* error = Failure(started)) {
+    co_return *error;
+  }
+  HttpHead& head = std::get<HttpHead>(started);
+  HttpAnswer answer{head.status, std::move(head.headers), {}};
+  while (true) {
+    auto chunk = co_await exchange.ReadChunk();
+    if (const Error* error = Failure(chunk)) {
+      co_return *error;
+    }
+    const std::string& data = std::get<std::string>(chunk);
+    if (data.empty()) {
+      co_return answer;
+    }
+    if (answer.body.size() + data.size() > max_body) {
+      exchange.Cancel();
+      co_return Error{Step::kReceive, address, "the body is too large"};
+    }
+    answer.body += data;
+  }
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/http_server.cc
@@ -0,0 +1,285 @@
+// One coroutine for each connection: read a request, hand it to the handler,
+// and go on while both sides keep the connection.
+#include <charconv>
+
+#include "rosemaryhook/http.h"
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+
+void SetHeaders(const Headers& headers, http::response_header<>* response) {
+  for (const auto& [name, value] : headers) {
+    response->set(name, value);
+  }
+}
+
+// Status for a request that could not be read, 0 if nobody is left to tell.
+int RefusalStatus(const beast::error_code& ec, bool has_bytes) {
+  if (ec == http::error::body_limit) {
+    return 413;
+  }
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    return 431;
+  }
+  if (ec == beast::error::timeout) {
+    return has_bytes ? 408 : 0;
+  }
+  if (ec.category() == http::make_error_code(http::error::bad_method)
+                           .category() &&
+      ec != http::error::end_of_stream && ec != http::error::partial_message) {
+    return 400;
+  }
+  return 0;
+}
+
+awaitable<void> Refuse(const HttpServer& server,
+                       beast::tcp_stream* stream,
+                       int status,
+                       std::string message) {
+  HttpReply reply(stream, server.limits, false);
+  Headers headers{{"content-type", "text/plain"}};
+  if (server.refusal) {
+    std::tie(headers, message) = server.refusal(status, message);
+  }
+  co_await reply.Send(status, std::move(headers), std::move(message));
+}
+
+using Parser = http::request_parser<http::string_body>;
+
+// Reads one request. The header has to arrive within header_timeout of its
+// first byte, the body within the same time again.
+awaitable<beast::error_code> ReadRequest(const HttpLimits& limits,
+                                         beast::tcp_stream* stream,
+                                         beast::flat_buffer* buffer,
+                                         Parser* parser) {
+  if (buffer->size() == 0) {
+    stream->expires_after(limits.idle_timeout);
+    auto [ec, n] = co_await stream->async_read_some(
+        buffer->prepare(limits.header_bytes), kToTuple);
+    if (ec) {
+      co_return ec;
+    }
+    buffer->commit(n);
+  }
+  stream->expires_after(limits.header_timeout);
+  auto [header_ec, header_n] =
+      co_await http::async_read_header(*stream, *buffer, *parser, kToTuple);
+  if (header_ec) {
+    co_return header_ec;
+  }
+  if (parser->get()[http::field::expect] == "100-continue") {
+    http::response<http::empty_body> go_on(http::status::continue_, 11);
+    auto [ec, n] = co_await http::async_write(*stream, go_on, kToTuple);
+    if (ec) {
+      co_return ec;
+    }
+  }
+  stream->expires_after(limits.header_timeout);
+  auto [body_ec, body_n] =
+      co_await http::async_read(*stream, *buffer, *parser, kToTuple);
+  co_return body_ec;
+}
+
+HttpRequest TakeRequest(Parser* parser) {
+  auto message = parser->release();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.body = std::move(message.body());
+  request.fields = std::move(message.base());
+  return request;
+}
+
+awaitable<void> ServeRequests(std::shared_ptr<HttpServer> server,
+                              beast::tcp_stream* stream) {
+  beast::flat_buffer buffer;
+  while (!server->closing) {
+    Parser parser;
+    parser.body_limit(server->limits.body_bytes);
+    parser.header_limit(server->limits.header_bytes);
+    const beast::error_code ec =
+        co_await ReadRequest(server->limits, stream, &buffer, &parser);
+    if (ec) {
+      const bool has_bytes = buffer.size() > 0 || parser.got_some();
+      if (const int status = RefusalStatus(ec, has_bytes)) {
+        co_await Refuse(*server, stream, status, ec.message());
+      }
+      co_return;
+    }
+    const bool keep = parser.get().keep_alive() && !server->closing;
+    const HttpRequest request = TakeRequest(&parser);
+    stream->expires_never();
+    HttpReply reply(stream, server->limits, keep);
+    ++server->active;
+    try {
+      co_await server->handler(request, reply);
+    } catch (const std::exception& e) {
+      Log("handler_failed", {{"target", request.target}, {"why", e.what()}});
+      reply.Abort();
+    }
+    --server->active;
+    if (!reply.keep()) {
+      co_return;
+    }
+  }
+}
+
+// Lets the other side read the last response before the connection closes:
+// a close with unread input would reset it.
+awaitable<void> CloseGently(beast::tcp_stream* stream) {
+  beast::error_code ignored;
+  stream->socket().shutdown(tcp::socket::shutdown_send, ignored);
+  stream->expires_after(std::chrono::seconds(1));
+  std::array<char, 4096> sink;
+  for (size_t total = 0; total < (64 << 20);) {
+    auto [ec, n] =
+        co_await stream->async_read_some(asio::buffer(sink), kToTuple);
+    if (ec) {
+      break;
+    }
+    total += n;
+  }
+}
+
+awaitable<void> ServeConnection(std::shared_ptr<HttpServer> server,
+                                tcp::socket socket) {
+  ++server->connections;
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  beast::tcp_stream stream(std::move(socket));
+  co_await ServeRequests(server, &stream);
+  if (stream.socket().is_open()) {
+    co_await CloseGently(&stream);
+  }
+  --server->connections;
+}
+
+}  // namespace
+
+std::string HeaderOf(const HttpRequest& request, std::string_view name) {
+  const auto it = request.fields.find({name.data(), name.size()});
+  return it == request.fields.end() ? std::string() : std::string(it->value());
+}
+
+HttpReply::HttpReply(beast::tcp_stream* stream,
+                     const HttpLimits& limits,
+                     bool keep)
+    : stream_(stream), limits_(limits), keep_(keep) {}
+
+void HttpReply::ExpireWrites() {
+  stream_->expires_after(limits_.write_timeout);
+}
+
+awaitable<bool> HttpReply::Send(int status, Headers headers, std::string body) {
+  begun_ = true;
+  http::response<http::string_body> response(
+      static_cast<http::status>(status), 11);
+  SetHeaders(headers, &response);
+  response.body() = std::move(body);
+  response.keep_alive(keep_);
+  response.prepare_payload();
+  ExpireWrites();
+  auto [ec, n] = co_await http::async_write(*stream_, response, kToTuple);
+  ok_ = ok_ && !ec;
+  stream_->expires_never();
+  co_return ok_;
+}
+
+awaitable<bool> HttpReply::Begin(int status, Headers headers) {
+  begun_ = true;
+  http::response<http::empty_body> response(static_cast<http::status>(status),
+                                            11);
+  SetHeaders(headers, &response);
+  response.keep_alive(keep_);
+  response.chunked(true);
+  http::response_serializer<http::empty_body> serializer(response);
+  ExpireWrites();
+  auto [ec, n] =
+      co_await http::async_write_header(*stream_, serializer, kToTuple);
+  ok_ = ok_ && !ec;
+  co_return ok_;
+}
+
+awaitable<bool> HttpReply::Chunk(std::string data) {
+  if (data.empty() || !ok_) {
+    co_return ok_;
+  }
+  ExpireWrites();
+  auto [ec, n] = co_await asio::async_write(
+      *stream_, http::make_chunk(asio::buffer(data)), kToTuple);
+  ok_ = !ec;
+  co_return ok_;
+}
+
+awaitable<bool> HttpReply::End() {
+  if (!ok_) {
+    co_return false;
+  }
+  ExpireWrites();
+  auto [ec, n] =
+      co_await asio::async_write(*stream_, http::make_chunk_last(), kToTuple);
+  ok_ = !ec;
+  stream_->expires_never();
+  co_return ok_;
+}
+
+void HttpReply::Abort() {
+  ok_ = false;
+  stream_->close();
+}
+
+Result<tcp::endpoint> ParseAddress(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  beast::error_code ec;
+  const auto ip =
+      asio::ip::make_address(address.substr(0, std::min(colon, address.size())),
+                             ec);
+  unsigned port = 0;
+  const char* end = address.data() + address.size();
+  if (!ec && colon != std::string::npos) {
+    const auto parsed =
+        std::from_chars(address.data() + colon + 1, end, port);
+    if (parsed.ec == std::errc() && parsed.ptr == end && port <= 65535) {
+      return tcp::endpoint(ip, static_cast<uint16_t>(port));
+    }
+  }
+  return Error{Step::kParse, address, "expected an address as IP:PORT"};
+}
+
+Result<Done> Listen(asio::io_context& io,
+                    const std::string& address,
+                    HttpServer* server) {
+  const auto endpoint = ParseAddress(address);
+  if (const Error* error = Failure(endpoint)) {
+    return *error;
+  }
+  try {
+    server->acceptor = std::make_unique<tcp::acceptor>(
+        io, std::get<tcp::endpoint>(endpoint), true);
+    return Done{};
+  } catch (const boost::system::system_error& e) {
+    return Error{Step::kConnect, address, e.code().message()};
+  }
+}
+
+awaitable<void> Serve(std::shared_ptr<HttpServer> server) {
+  const auto executor = co_await asio::this_coro::executor;
+  while (server->acceptor->is_open()) {
+    auto [ec, socket] = co_await server->acceptor->async_accept(kToTuple);
+    if (ec == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (ec || server->connections >= server->limits.max_connections) {
+      asio::steady_timer pause(executor, std::chrono::milliseconds(10));
+      co_await pause.async_wait(kToTuple);
+      continue;
+    }
+    asio::co_spawn(executor, ServeConnection(server, std::move(socket)),
+                   asio::detached);
+  }
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/membership.cc
@@ -0,0 +1,54 @@
+// An unreliable failure detector in the sense of Chandra and Toueg
+// ("Unreliable failure detectors for reliable distributed systems", 1996):
+// complete, as silence is always noticed, but not accurate.
+#include "rosemaryhook/membership.h"
+
+#include <algorithm>
+
+namespace rosemaryhook {
+
+void NoteHeartbeat(int64_t counter, Time now, Liveness* liveness) {
+  if (counter != liveness->counter) {
+    liveness->counter = counter;
+    liveness->counter_moved = now;
+  }
+}
+
+bool IsSuspected(const Liveness& liveness, Duration heartbeat, Time now) {
+  const Duration stall =
+      std::max<Duration>(kSilentSpan, heartbeat * (kMissedHeartbeats + 1));
+  return now - liveness.answered >= kSilentSpan &&
+         now - liveness.counter_moved >= stall;
+}
+
+bool IsGone(const Liveness& liveness, Time table_good_since, Time now) {
+  const Time stalled_since = std::max(liveness.counter_moved, table_good_since);
+  return now - stalled_since >= kGoneSpan &&
+         now - liveness.answered >= kGoneSpan &&
+         now - std::max(liveness.listed, table_good_since) >= kGoneSpan;
+}
+
+std::set<std::string> SuspectedSessions(const Blackboard& board, Time now) {
+  std::set<std::string> suspected;
+  for (const auto& [id, session] : board.fleet.sessions) {
+    const auto found = board.liveness.find(id);
+    if (id != board.session && found != board.liveness.end() &&
+        IsSuspected(found->second, board.settings.heartbeat, now)) {
+      suspected.insert(id);
+    }
+  }
+  return suspected;
+}
+
+std::set<std::string> ReplacedBy(const FleetState& fleet,
+                                 const Session& session) {
+  std::set<std::string> replaced;
+  for (const auto& [id, other] : fleet.sessions) {
+    if (other.address == session.address) {
+      replaced.insert(id);
+    }
+  }
+  return replaced;
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/placement.cc
@@ -0,0 +1,121 @@
+// Rendezvous hashing gives each adapter a preference order of runners. Bounded
+// loads (Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded
+// loads", 2018) keep a popular adapter from filling one runner while others
+// stand idle: when every resident copy is full, the next runner in the order
+// that has room gets a copy.
+#include "rosemaryhook/placement.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace rosemaryhook {
+namespace {
+
+struct Candidate {
+  std::string name;
+  std::string owner;
+  BackendView view;
+  uint64_t weight = 0;
+};
+
+int LoadOf(const BackendView& view) {
+  return view.running + view.queued + view.sent_since;
+}
+
+bool HasRoomFor(const Candidate& candidate) {
+  return LoadOf(candidate.view) < candidate.view.window;
+}
+
+// The owner's session, empty if nobody of the fleet owns the backend server.
+std::string OwnerOf(const FleetState& fleet, const std::string& backend) {
+  const auto claim = fleet.claims.find(BackendResource(backend));
+  if (claim == fleet.claims.end() ||
+      !fleet.sessions.contains(claim->second.owner)) {
+    return {};
+  }
+  return claim->second.owner;
+}
+
+// Candidates by preference.
+std::vector<Candidate> Candidates(const FleetState& fleet,
+                                  const Directory& directory,
+                                  const Wanted& wanted) {
+  std::vector<Candidate> candidates;
+  const std::string& key =
+      wanted.adapter.empty() ? wanted.spread : wanted.adapter;
+  for (const auto& [name, backend] : fleet.backends) {
+    if (backend.kind != wanted.kind || backend.group != wanted.group ||
+        !IsOpen(fleet, backend) || wanted.excluded.contains(name)) {
+      continue;
+    }
+    Candidate candidate{name, OwnerOf(fleet, name), {}, 0};
+    const auto view = directory.backends.find(name);
+    if (view != directory.backends.end()) {
+      candidate.view = view->second;
+    }
+    if (candidate.owner.empty() || !candidate.view.usable) {
+      continue;
+    }
+    candidate.weight = RendezvousWeight(key, name);
+    candidates.push_back(std::move(candidate));
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.weight > b.weight;
+            });
+  return candidates;
+}
+
+bool IsResident(const Candidate& candidate, const std::string& adapter) {
+  return adapter.empty() || candidate.view.resident.contains(adapter);
+}
+
+// Load for each unit of window; the emptiest is chosen when all are full.
+double Fullness(const Candidate& candidate) {
+  return static_cast<double>(LoadOf(candidate.view)) /
+         std::max(1, candidate.view.window);
+}
+
+}  // namespace
+
+uint64_t RendezvousWeight(const std::string& key, const std::string& node) {
+  const uint64_t seed = XXH3_64bits(node.data(), node.size());
+  return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+}
+
+bool IsOpen(const FleetState& fleet, const Backend& backend) {
+  return !fleet.zones_out.contains(backend.zone);
+}
+
+Result<Choice> ChooseBackend(const FleetState& fleet,
+                             const Directory& directory,
+                             const Wanted& wanted) {
+  const std::vector<Candidate> candidates =
+      Candidates(fleet, directory, wanted);
+  if (candidates.empty()) {
+    return Error{Step::kPlace, wanted.group,
+                 wanted.excluded.empty()
+                     ? "no backend server is open for this request"
+                     : "no further backend server is open for this request"};
+  }
+  for (const Candidate& candidate : candidates) {
+    if (IsResident(candidate, wanted.adapter) && HasRoomFor(candidate)) {
+      return Choice{candidate.name, candidate.owner, "resident"};
+    }
+  }
+  for (const Candidate& candidate : candidates) {
+    if (HasRoomFor(candidate)) {
+      return Choice{candidate.name, candidate.owner, "preferred-with-room"};
+    }
+  }
+  const auto emptiest = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) {
+        return Fullness(a) < Fullness(b);
+      });
+  return Choice{emptiest->name, emptiest->owner, "least-loaded"};
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/relay.cc
@@ -0,0 +1,262 @@
+#include "rosemaryhook/relay.h"
+
+#include "rosemaryhook/dispatcher.h"
+#include "rosemaryhook/host.h"
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+using HostPtr = std::shared_ptr<Host>;
+
+constexpr Duration kNoBackendPause = std::chrono::milliseconds(200);
+// How long a request waits for a backend server to open, as while an owner is
+// being replaced.
+constexpr Duration kNoBackendLimit = std::chrono::seconds(12);
+
+DispatchFailure LinkFailure(const Error& error, RunState run, bool head_sent) {
+  DispatchFailure failure;
+  failure.error = error;
+  failure.code = run == RunState::kNotRun ? "owner_unreachable" : "owner_lost";
+  failure.run = run;
+  failure.head_sent = head_sent;
+  return failure;
+}
+
+// Reads the owner's frames. Once the request has been sent to the owner a
+// broken stream leaves open whether it ran.
+awaitable<DispatchResult> ReadFrames(std::shared_ptr<PeerStream> stream,
+                                     const AnswerSink& sink,
+                                     Time deadline) {
+  bool head_sent = false;
+  while (true) {
+    auto read = co_await stream->Read(deadline);
+    if (const Error* error = Failure(read)) {
+      stream->Reset();
+      co_return LinkFailure(*error, RunState::kUnknown, head_sent);
+    }
+    const auto& message = std::get<std::optional<Json>>(read);
+    if (!message) {
+      co_return LinkFailure({Step::kPeer, "", "the owner ended early"},
+                            RunState::kUnknown, head_sent);
+    }
+    auto decoded = DispatchFrameFromJson(*message);
+    if (const Error* error = Failure(decoded)) {
+      stream->Reset();
+      co_return LinkFailure(*error, RunState::kUnknown, head_sent);
+    }
+    auto& frame = std::get<DispatchFrame>(decoded);
+    bool is_heard = true;
+    if (auto* head = std::get_if<AnswerHead>(&frame)) {
+      head_sent = true;
+      is_heard = co_await sink.head(std::move(*head));
+    } else if (auto* chunk = std::get_if<AnswerChunk>(&frame)) {
+      is_heard = co_await sink.chunk(std::move(chunk->data));
+    } else if (auto* end = std::get_if<AnswerEnd>(&frame)) {
+      co_return *end;
+    } else {
+      auto& failure = std::get<DispatchFailure>(frame);
+      failure.head_sent = head_sent;
+      co_return std::move(failure);
+    }
+    if (!is_heard) {
+      stream->Reset();
+      DispatchFailure gone = LinkFailure(
+          {Step::kSend, "", "the caller has gone"}, RunState::kUnknown, true);
+      gone.code = "caller_gone";
+      co_return gone;
+    }
+  }
+}
+
+awaitable<DispatchResult> DispatchRemote(HostPtr host,
+                                         std::string owner,
+                                         DispatchRequest request,
+                                         const AnswerSink& sink) {
+  const auto peer = host->peers.find(owner);
+  if (peer == host->peers.end()) {
+    co_return LinkFailure({Step::kPeer, owner, "the owner is not known"},
+                          RunState::kNotRun, false);
+  }
+  const std::shared_ptr<Peer> kept = peer->second;
+  auto opened = co_await kept->link.Open("/dispatch", ToJson(request, Now()),
+                                         request.deadline);
+  if (const Error* error = Failure(opened)) {
+    co_return LinkFailure(*error, RunState::kNotRun, false);
+  }
+  // The owner answers at the deadline at the latest; the margin lets that
+  // answer, which knows whether the request ran, arrive.
+  co_return co_await ReadFrames(
+      std::get<std::shared_ptr<PeerStream>>(opened), sink,
+      request.deadline + std::chrono::milliseconds(500));
+}
+
+awaitable<DispatchResult> Attempt(HostPtr host,
+                                  const Choice& choice,
+                                  DispatchRequest request,
+                                  const AnswerSink& sink) {
+  request.backend = choice.backend;
+  // Until the next report the view has to count what went there since, or a
+  // burst would all go to the one that looked empty.
+  ++host->board.directory.backends[choice.backend].sent_since;
+  if (choice.owner == host->board.session) {
+    co_return co_await Dispatch(host, std::move(request), sink);
+  }
+  co_return co_await DispatchRemote(host, choice.owner, std::move(request),
+                                    sink);
+}
+
+void LogChoice(const DispatchRequest& request,
+               const Choice& choice,
+               int attempt) {
+  Log("route", {{"customer", request.customer},
+                {"adapter", request.adapter},
+                {"target", request.target},
+                {"backend", choice.backend},
+                {"owner", choice.owner},
+                {"attempt", attempt},
+                {"alone", request.alone ? "yes" : "no"},
+                {"why", choice.why}});
+}
+
+// Tells every peer at once; a message that is lost is made up for by the next
+// contact.
+void SpreadSuspects(const HostPtr& host) {
+  const Json message = SuspectsToJson(host->board.suspects, Now());
+  for (const auto& [session, peer] : host->peers) {
+    asio::co_spawn(
+        host->io,
+        [](std::shared_ptr<Peer> to, Json text) -> awaitable<void> {
+          co_await to->link.Call("/suspects", std::move(text),
+                                 Now() + std::chrono::seconds(1));
+        }(peer, message),
+        asio::detached);
+  }
+}
+
+DispatchFailure SuspectRefusal() {
+  DispatchFailure failure;
+  failure.error = {Step::kPlace, "",
+                   "this request crashed backend servers and is refused"};
+  failure.code = "crash_suspect";
+  return failure;
+}
+
+// Takes in what a failed attempt says of the request itself.
+void NoteAttempt(const HostPtr& host,
+                 const DispatchRequest& request,
+                 const DispatchResult& result) {
+  Suspects& suspects = host->board.suspects;
+  const auto* failure = std::get_if<DispatchFailure>(&result);
+  if (failure == nullptr) {
+    if (IsSuspect(suspects, request.fingerprint, Now())) {
+      NoteCompleted(request.fingerprint, Now(), &suspects);
+      Log("suspect_cleared", {{"fingerprint", request.fingerprint}});
+    }
+  } else if (failure->crashed) {
+    NoteCrash(request.fingerprint, Now(), &suspects);
+    Log("suspect", {{"fingerprint", request.fingerprint},
+                    {"customer", request.customer},
+                    {"backend", failure->error.peer}});
+    SpreadSuspects(host);
+  }
+}
+
+// Encoding stays out of the coroutines: g++ 12 destroys an aggregate temporary
+// within a co_await expression twice.
+Json EncodeHead(AnswerHead head) {
+  return ToJson(DispatchFrame(std::move(head)));
+}
+
+Json EncodeChunk(std::string data) {
+  return ToJson(DispatchFrame(AnswerChunk{std::move(data)}));
+}
+
+}  // namespace
+
+awaitable<DispatchResult> Relay(HostPtr host,
+                                Wanted wanted,
+                                DispatchRequest request,
+                                AnswerSink sink) {
+  NoteRequest(&host->retries);
+  const Time give_up = std::min(request.deadline, Now() + kNoBackendLimit);
+  DispatchFailure last;
+  last.error = {Step::kPlace, wanted.group, "no backend server is open"};
+  last.code = "no_backend";
+  // Once an attempt may have run, no later refusal may say "not run".
+  RunState worst = RunState::kNotRun;
+  int attempts = 0;
+  while (true) {
+    const Time now = Now();
+    if (IsRefused(host->board.suspects, request.fingerprint, now)) {
+      last = SuspectRefusal();
+      break;
+    }
+    const std::string_view why = co_await AwaitActing(host);
+    const auto chosen = ChooseBackend(host->board.fleet,
+                                      host->board.directory, wanted);
+    const Choice* choice = std::get_if<Choice>(&chosen);
+    if (!why.empty() || choice == nullptr) {
+      if (now + kNoBackendPause >= give_up || attempts >= kMaxAttempts) {
+        break;
+      }
+      wanted.excluded.clear();
+      co_await Sleep(kNoBackendPause);
+      continue;
+    }
+    request.alone = IsSuspect(host->board.suspects, request.fingerprint, now);
+    LogChoice(request, *choice, ++attempts);
+    DispatchResult result = co_await Attempt(host, *choice, request, sink);
+    NoteAttempt(host, request, result);
+    auto* failure = std::get_if<DispatchFailure>(&result);
+    if (failure == nullptr) {
+      co_return result;
+    }
+    last = *failure;
+    if (last.run == RunState::kUnknown) {
+      worst = RunState::kUnknown;
+    }
+    Log("attempt_failed", {{"backend", choice->backend},
+                           {"code", last.code},
+                           {"run", RunStateName(last.run)},
+                           {"step", StepName(last.error.step)},
+                           {"peer", last.error.peer},
+                           {"why", last.error.message}});
+    if (NextStep(last, request, attempts, Now(), &host->retries) ==
+        Retry::kNever) {
+      break;
+    }
+    host->board.metrics.Count("retries_total");
+    wanted.excluded.insert(choice->backend);
+  }
+  if (worst == RunState::kUnknown) {
+    last.run = RunState::kUnknown;
+  }
+  co_return last;
+}
+
+awaitable<void> ServeDispatch(HostPtr host,
+                              std::shared_ptr<PeerStream> stream,
+                              Json message) {
+  auto parsed = DispatchRequestFromJson(message, Now());
+  if (Failure(parsed) != nullptr) {
+    stream->Reset();
+    co_return;
+  }
+  const AnswerSink sink{
+      [stream](AnswerHead head) -> awaitable<bool> {
+        co_return co_await stream->Write(EncodeHead(std::move(head)));
+      },
+      [stream](std::string data) -> awaitable<bool> {
+        co_return co_await stream->Write(EncodeChunk(std::move(data)));
+      },
+      [stream] { return stream->broken(); }};
+  const DispatchResult result = co_await Dispatch(
+      host, std::move(std::get<DispatchRequest>(parsed)), sink);
+  const DispatchFrame last = std::visit(
+      [](const auto& part) { return DispatchFrame(part); }, result);
+  co_await stream->Write(ToJson(last));
+  stream->Finish();
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/table.h
@@ -0,0 +1,137 @@
+// The platform's table service and object store.
+//
+//   Table table{&pool, "127.0.0.1:8000"};
+//   auto rows = co_await Read(table, {"head", "in_force"}, "", deadline);
+//   auto done = co_await Transact(table, transaction, deadline);
+//
+// Published protocol: JSON over HTTP. POST /table/read takes {"keys": [...],
+// "prefix": "..."} and answers {"rows": {key: value}}. POST /table/transact
+// takes {"conditions": [{"key", "equals"}], "puts": [{"key", "value"}],
+// "deletes": [key]} and answers 200, or 409 {"failed": key} if a condition does
+// not hold; `equals` null means that the row must not exist. Objects are PUT
+// and GET at /objects/NAME. GET /hosts lists the platform's hosts.
+#ifndef ROSEMARYHOOK_TABLE_H_
+#define ROSEMARYHOOK_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosemaryhook/error.h"
+#include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/http.h"
+#include "rosemaryhook/time.h"
+
+namespace rosemaryhook {
+
+struct Table {
+  HttpPool* pool = nullptr;
+  std::string address;
+  std::string host;  // of the asker, for the platform's own records
+};
+
+using Rows = std::map<std::string, Json>;
+
+// A list of row names. In place of braces, which g++ 12 rejects within a
+// co_await expression.
+template <typename... T>
+std::vector<std::string> Keys(const T&... names) {
+  return {std::string(names)...};
+}
+
+struct Condition {
+  std::string key;
+  Json equals;  // null if the row must not exist
+};
+
+struct Transaction {
+  std::vector<Condition> conditions;
+  Rows puts;
+  std::vector<std::string> deletes;
+};
+
+// How a transaction ended when the table answered.
+enum class Committed { kYes, kConditionFailed };
+
+// The rows of `keys` that exist, and all rows that begin with `prefix` if that
+// is not empty.
+awaitable<Result<Rows>> Read(Table table,
+                             std::vector<std::string> keys,
+                             std::string prefix,
+                             Time deadline);
+
+// An Error leaves open whether the transaction took effect.
+awaitable<Result<Committed>> Transact(Table table,
+                                      Transaction transaction,
+                                      Time deadline);
+
+awaitable<Result<Done>> PutObject(Table table,
+                                  std::string name,
+                                  std::string body,
+                                  Time deadline);
+
+// The object's bytes, or nullopt if there is none.
+awaitable<Result<std::optional<std::string>>> GetObject(Table table,
+                                                        std::string name,
+                                                        Time deadline);
+
+// Addresses on the platform's list of live and leaving hosts, which lags.
+awaitable<Result<std::set<std::string>>> ListHosts(Table table, Time deadline);
+
+// The revision in row `key`, 0 if there is no such row.
+Revision RevisionIn(const Rows& rows, const std::string& key);
+
+// Row names.
+std::string ChangeRow(Revision revision);
+std::string HeartbeatRow(const std::string& session);
+std::string CallRow(const std::string& customer, const std::string& key);
+
+extern const char kHeadRow[];
+extern const char kInForceRow[];
+extern const char kHeartbeatPrefix[];
+extern const char kSnapshotRow[];  // revision of the newest snapshot
+
+// What came of a change offered to the table.
+struct Accepted {
+  Revision revision = 0;
+};
+struct Overtaken {
+  Revision head = 0;  // another change came between
+};
+using CommitOutcome = std::variant<Accepted, Overtaken, Error>;
+
+// Writes `ops` as the change after `base`. An answer that is lost is settled by
+// reading back the change's mark; until that succeeds the outcome is an Error,
+// and the change can still appear.
+awaitable<CommitOutcome> Commit(Table table,
+                                Revision base,
+                                std::string author,
+                                std::vector<Op> ops,
+                                Time deadline);
+
+// The changes after `since`, oldest first, at most kMaxChanges.
+constexpr int kMaxChanges = 200;
+awaitable<Result<std::vector<Change>>> ReadChanges(Table table,
+                                                   Revision since,
+                                                   Revision head,
+                                                   Time deadline);
+
+// Stores `fleet` as the snapshot after revision `previous` and removes the
+// changes up to `previous`, which every later reader can do without.
+awaitable<Result<Done>> SaveSnapshot(Table table,
+                                     std::string snapshot,
+                                     Revision revision,
+                                     Revision previous,
+                                     Time deadline);
+
+// The newest snapshot and every change after it.
+awaitable<Result<FleetState>> LoadFleet(Table table, Time deadline);
+
+// A random identifier of 128 bits in hexadecimal.
+std::string RandomId();
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_TABLE_H_
--- /dev/null
+++ b/rosemaryhook/testing/fake_runner.cc
@@ -0,0 +1,281 @@
+// Stand-in for a model engine with LoRA adapters.
+//
+//   fake_runner --listen 127.0.0.1:9001 --model base --adapter-slots 4
+//
+// An answer's first token names the adapter that ran and repeats the prompt,
+// so a wrong adapter or a crossed answer shows. Faults: "freeze";
+// "fail_loads" N; "load_ms" extra time for each load; "late_ms" delays each
+// answer; "wrong_adapter" answers as another adapter; "cut_after" N cuts an
+// answer after N tokens. A prompt with the word CRASH ends the process. With
+// --bears N the process ends when more than N requests run at once before it
+// has completed as many.
+#include <CLI/CLI.hpp>
+#include <set>
+
+#include "rosemaryhook/table.h"
+#include "rosemaryhook/testing/fake_server.h"
+
+namespace rosemaryhook::testing {
+namespace {
+
+struct Runner : FakeServer {
+  std::string model;
+  std::string platform;  // weight store, empty to load without one
+  std::string incarnation = RandomId();
+  int adapter_slots = 4;
+  int bears = 0;  // 0: any load from the start
+  bool checks_fencing = false;
+  int64_t token_us = 2000;
+  Revision fence = 0;
+  std::map<std::string, int> adapters;  // resident -> requests running
+  int running = 0;
+  int most_running = 0;
+  int64_t completed = 0;
+  int64_t loads = 0;
+  int64_t evicted_in_use = 0;
+  HttpPool pool;
+};
+
+bool IsStale(Runner* runner, Revision fence) {
+  if (!runner->checks_fencing) {
+    return false;
+  }
+  if (fence < runner->fence) {
+    return true;
+  }
+  runner->fence = fence;
+  return false;
+}
+
+awaitable<void> FetchWeights(Runner* runner, std::string adapter) {
+  if (const int64_t extra = runner->faults.Number("load_ms")) {
+    co_await Sleep(std::chrono::milliseconds(extra));
+  }
+  if (!runner->platform.empty()) {
+    HttpCall call;
+    call.address = runner->platform;
+    call.method = "GET";
+    call.target = "/weights/" + adapter;
+    call.deadline = Now() + std::chrono::seconds(60);
+    call.fresh_connection = true;
+    co_await Fetch(&runner->pool, std::move(call));
+  }
+}
+
+awaitable<void> HandleLoad(Runner* runner, Json body, HttpReply& reply) {
+  const std::string adapter = body.value("lora_name", "");
+  if (IsStale(runner, body.value("fence", Revision{0}))) {
+    co_await SendJson(reply, 409, Fields("error", "stale fence"));
+    co_return;
+  }
+  const bool fails = runner->faults.Take("fail_loads");
+  ++runner->loads;
+  co_await FetchWeights(runner, adapter);
+  const bool is_full =
+      !runner->adapters.contains(adapter) &&
+      static_cast<int>(runner->adapters.size()) >= runner->adapter_slots;
+  if (fails || is_full) {
+    co_await SendJson(reply, 500,
+                      Fields("error",
+                             is_full ? "no free slot" : "load failed"));
+    co_return;
+  }
+  runner->adapters.try_emplace(adapter, 0);
+  co_await SendJson(reply, 200, Fields("ok", true));
+}
+
+awaitable<void> HandleUnload(Runner* runner, Json body, HttpReply& reply) {
+  if (IsStale(runner, body.value("fence", Revision{0}))) {
+    co_await SendJson(reply, 409, Fields("error", "stale fence"));
+    co_return;
+  }
+  const auto found = runner->adapters.find(body.value("lora_name", ""));
+  if (found != runner->adapters.end()) {
+    runner->evicted_in_use += found->second > 0 ? 1 : 0;
+    runner->adapters.erase(found);
+  }
+  co_await SendJson(reply, 200, Fields("ok", true));
+}
+
+awaitable<void> HandleReport(Runner* runner, HttpReply& reply) {
+  Json adapters = Json::array();
+  for (const auto& [adapter, running] : runner->adapters) {
+    adapters.push_back(adapter);
+  }
+  co_await SendJson(reply, 200,
+                    Fields("incarnation", runner->incarnation, "running",
+                           runner->running, "most_running",
+                           runner->most_running, "completed",
+                           runner->completed, "loads", runner->loads,
+                           "evicted_in_use", runner->evicted_in_use, "fence",
+                           runner->fence, "adapters", adapters));
+}
+
+std::string PromptOf(const Json& body) {
+  if (body.contains("messages")) {
+    return body.at("messages").back().value("content", "");
+  }
+  return body.value("prompt", "");
+}
+
+std::string Token(const std::string& adapter,
+                  const std::string& prompt,
+                  int64_t index) {
+  return index == 0 ? "[" + adapter + "|" + prompt + "]"
+                    : " tok" + std::to_string(index);
+}
+
+// One choice in the form of the called API.
+Json Choice(bool chat, bool stream, const std::string& text) {
+  if (!chat) {
+    return {{"index", 0}, {"text", text}};
+  }
+  const Json content = {{"role", "assistant"}, {"content", text}};
+  return {{"index", 0}, {stream ? "delta" : "message", content}};
+}
+
+struct Completion {
+  bool chat = false;
+  bool stream = false;
+  std::string adapter;
+  std::string prompt;
+  int64_t tokens = 0;
+};
+
+Json Document(const Completion& completion, const std::string& text) {
+  return {{"id", "cmpl"},
+          {"model", completion.adapter},
+          {"choices",
+           {Choice(completion.chat, completion.stream, text)}}};
+}
+
+Json Usage(const Completion& completion) {
+  const auto prompt = static_cast<int64_t>(completion.prompt.size() + 3) / 4;
+  return {{"prompt_tokens", prompt},
+          {"completion_tokens", completion.tokens},
+          {"total_tokens", prompt + completion.tokens}};
+}
+
+// Streams or gathers the tokens. False if the answer was cut by a fault.
+awaitable<bool> Generate(Runner* runner,
+                         Completion completion,
+                         HttpReply& reply) {
+  const int64_t cut = runner->faults.Number("cut_after");
+  if (completion.stream) {
+    Headers headers{{"content-type", "text/event-stream"}};
+    co_await reply.Begin(200, std::move(headers));
+  }
+  std::string text;
+  for (int64_t i = 0; i < completion.tokens; ++i) {
+    co_await Sleep(std::chrono::microseconds(runner->token_us));
+    while (runner->faults.IsOn("freeze")) {
+      co_await Sleep(std::chrono::milliseconds(20));
+    }
+    if (cut > 0 && i >= cut) {
+      reply.Abort();
+      co_return false;
+    }
+    const std::string token = Token(completion.adapter, completion.prompt, i);
+    text += token;
+    if (completion.stream &&
+        !co_await reply.Chunk("data: " + Document(completion, token).dump() +
+                              "\n\n")) {
+      co_return false;
+    }
+  }
+  if (completion.stream) {
+    Json last = Document(completion, "");
+    last["usage"] = Usage(completion);
+    co_await reply.Chunk("data: " + last.dump() + "\n\ndata: [DONE]\n\n");
+    co_return co_await reply.End();
+  }
+  Json whole = Document(completion, text);
+  whole["usage"] = Usage(completion);
+  co_return co_await SendJson(reply, 200, std::move(whole));
+}
+
+awaitable<void> HandleCompletion(Runner* runner,
+                                 bool chat,
+                                 Json body,
+                                 HttpReply& reply) {
+  Completion completion{chat, body.value("stream", false),
+                        body.value("model", ""), PromptOf(body),
+                        body.value("max_tokens", int64_t{16})};
+  const std::string adapter = completion.adapter;
+  if (!runner->adapters.contains(adapter)) {
+    co_await SendJson(reply, 404, Fields("error", "adapter is not loaded"));
+    co_return;
+  }
+  if (completion.prompt.find("CRASH") != std::string::npos) {
+    std::_Exit(3);
+  }
+  ++runner->running;
+  ++runner->adapters[adapter];
+  runner->most_running = std::max(runner->most_running, runner->running);
+  if (runner->bears > 0 && runner->completed < runner->bears &&
+      runner->running > runner->completed + runner->bears) {
+    fmt::print(stderr, "event=fell_over running={}\n", runner->running);
+    std::_Exit(4);
+  }
+  if (const int64_t late = runner->faults.Number("late_ms")) {
+    co_await Sleep(std::chrono::milliseconds(late));
+  }
+  if (runner->faults.IsOn("wrong_adapter")) {
+    completion.adapter = "another@1";
+  }
+  const bool whole = co_await Generate(runner, completion, reply);
+  runner->completed += whole ? 1 : 0;
+  --runner->running;
+  const auto found = runner->adapters.find(adapter);
+  if (found != runner->adapters.end()) {
+    --found->second;
+  }
+}
+
+awaitable<void> Handle(Runner* runner,
+                       const HttpRequest& request,
+                       HttpReply& reply) {
+  if (co_await HandleControl(runner, request, reply)) {
+    co_return;
+  }
+  if (request.target == "/v1/load") {
+    co_await HandleReport(runner, reply);
+    co_return;
+  }
+  Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    co_await SendJson(reply, 400, Fields("error", "expected a JSON object"));
+  } else if (request.target == "/v1/load_lora_adapter") {
+    co_await HandleLoad(runner, std::move(body), reply);
+  } else if (request.target == "/v1/unload_lora_adapter") {
+    co_await HandleUnload(runner, std::move(body), reply);
+  } else if (request.target == "/v1/completions") {
+    co_await HandleCompletion(runner, false, std::move(body), reply);
+  } else if (request.target == "/v1/chat/completions") {
+    co_await HandleCompletion(runner, true, std::move(body), reply);
+  } else {
+    co_await SendJson(reply, 404, Fields("error", "no such path"));
+  }
+}
+
+}  // namespace
+}  // namespace rosemaryhook::testing
+
+int main(int argc, char** argv) {
+  using rosemaryhook::testing::Runner;
+  CLI::App app("Stand-in for a model engine");
+  std::string listen;
+  Runner runner;
+  app.add_option("--listen", listen, "IP:PORT")->required();
+  app.add_option("--model", runner.model)->required();
+  app.add_option("--adapter-slots", runner.adapter_slots);
+  app.add_option("--bears", runner.bears, "requests borne while cold");
+  app.add_option("--platform", runner.platform, "weight store as IP:PORT");
+  app.add_option("--token-us", runner.token_us, "time of a token");
+  app.add_flag("--checks-fencing", runner.checks_fencing);
+  CLI11_PARSE(app, argc, argv);
+  return rosemaryhook::testing::RunFake(
+      listen, [&](const auto& request, auto& reply) {
+        return rosemaryhook::testing::Handle(&runner, request, reply);
+      });
+}
