--- a/ctl/rosemaryhookctl.cc
+++ b/ctl/rosemaryhookctl.cc
@@ -85,9 +85,8 @@
                                const Options& options,
                                MakeOps make_ops) {
   const Time deadline = DeadlineOf(options);
-  auto changed = co_await ChangeFleet(table, options.author,
-                                      std::move(make_ops), options.base,
-                                      deadline);
+  auto changed = co_await ChangeFleet(
+      table, options.author, std::move(make_ops), options.base, deadline);
   if (const Error* error = Failure(changed)) {
     co_return *error;
   }
@@ -126,12 +125,12 @@
       table, options,
       [&](const FleetState& current) -> Result<std::vector<Op>> {
         if (!current.customers.contains(options.customer)) {
-          return Error{Step::kSheet, "",
-                       "expected a known customer, not \"" + options.customer +
-                           "\""};
+          return Error{
+              Step::kSheet, "",
+              "expected a known customer, not \"" + options.customer + "\""};
         }
-        return std::vector<Op>{PutOp(Section::kKey, DigestKey(key),
-                                     Key{options.customer})};
+        return std::vector<Op>{
+            PutOp(Section::kKey, DigestKey(key), Key{options.customer})};
       });
   // The key is printed even if it is not in force yet: it has been written, and
   // nothing else holds it.
@@ -177,18 +176,18 @@
 }
 
 awaitable<Result<Done>> ZoneOutJob(Table table, const Options& options) {
-  return SetZone(table, options, true);
+  return SetZone(std::move(table), options, true);
 }
 
 awaitable<Result<Done>> ZoneBackJob(Table table, const Options& options) {
-  return SetZone(table, options, false);
+  return SetZone(std::move(table), options, false);
 }
 
 void PrintFleet(const FleetState& fleet, Revision in_force) {
   fmt::print("revision {} in force {}\n", fleet.revision, in_force);
   fmt::print("customers {} adapters {} routes {} keys {}\n",
-             fleet.customers.size(), fleet.adapters.size(),
-             fleet.routes.size(), fleet.keys.size());
+             fleet.customers.size(), fleet.adapters.size(), fleet.routes.size(),
+             fleet.keys.size());
   for (const auto& [id, session] : fleet.sessions) {
     fmt::print("host {} zone {} session {} peers {}\n", session.host,
                session.zone, id, session.address);
@@ -198,8 +197,8 @@
     const auto owner = claim == fleet.claims.end()
                            ? fleet.sessions.end()
                            : fleet.sessions.find(claim->second.owner);
-    fmt::print("backend {} zone {} address {} owner {}{}\n", name,
-               backend.zone, backend.address,
+    fmt::print("backend {} zone {} address {} owner {}{}\n", name, backend.zone,
+               backend.address,
                owner == fleet.sessions.end() ? "none" : owner->second.host,
                fleet.zones_out.contains(backend.zone) ? " zone-out" : "");
   }
@@ -303,8 +302,8 @@
       ->required();
   auto* zone = app.add_subcommand("zone", "take a zone out or back");
   zone->require_subcommand(1);
-  auto* out = AddJob(zone, "out", "send no new work to a zone", ZoneOutJob,
-                     &job);
+  auto* out =
+      AddJob(zone, "out", "send no new work to a zone", ZoneOutJob, &job);
   out->add_option("zone", options.zone)->required();
   out->add_option("--reason", options.reason);
   AddJob(zone, "back", "use a zone again", ZoneBackJob, &job)
--- a/rosemaryhook/admission.cc
+++ b/rosemaryhook/admission.cc
@@ -69,8 +69,7 @@
 }
 
 // Asks for `shortfall` in total of those that have more, the richest first.
-void DivideRest(double shortfall,
-                std::vector<std::shared_ptr<Part>>* parts) {
+void DivideRest(double shortfall, std::vector<std::shared_ptr<Part>>* parts) {
   std::sort(parts->begin(), parts->end(),
             [](const auto& a, const auto& b) { return a->left > b->left; });
   for (const auto& part : *parts) {
@@ -102,8 +101,7 @@
 awaitable<Admission> AdmitTokens(HostPtr host,
                                  std::string customer,
                                  double cost) {
-  Admission admission =
-      Admit(customer, cost, Now(), &host->board.rates);
+  Admission admission = Admit(customer, cost, Now(), &host->board.rates);
   const auto known = host->board.fleet.customers.find(customer);
   const bool can_help = known != host->board.fleet.customers.end() &&
                         cost <= known->second.burst && !host->peers.empty();
@@ -136,8 +134,8 @@
   const Time now = Now();
   double given = 0;
   if (MayAct(*host)) {
-    given = Lend(customer, question.value("tokens", 0.0), now,
-                 &host->board.rates);
+    given =
+        Lend(customer, question.value("tokens", 0.0), now, &host->board.rates);
   }
   return {{"tokens", given},
           {"left", Available(customer, now, &host->board.rates)}};
--- a/rosemaryhook/api.cc
+++ b/rosemaryhook/api.cc
@@ -68,9 +68,9 @@
 // Makes max_tokens explicit, so that the engine's own default cannot exceed
 // what was admitted. Chat also knows the field by a newer name.
 Result<int64_t> TakeMaxTokens(Json* body) {
-  const char* field =
-      body->contains("max_completion_tokens") ? "max_completion_tokens"
-                                              : "max_tokens";
+  const char* field = body->contains("max_completion_tokens")
+                          ? "max_completion_tokens"
+                          : "max_tokens";
   const auto tokens =
       WholeNumber(*body, field, kDefaultMaxTokens, kLargestMaxTokens);
   if (!tokens) {
@@ -91,8 +91,7 @@
   }
   const auto usage = json.find("usage");
   if (usage != json.end() && usage->is_object() &&
-      usage->contains("total_tokens") &&
-      (*usage)["total_tokens"].is_number()) {
+      usage->contains("total_tokens") && (*usage)["total_tokens"].is_number()) {
     scan->total_tokens = (*usage)["total_tokens"].get<int64_t>();
   }
 }
@@ -169,10 +168,9 @@
   request.stream = stream != request.body.end() && stream->get<bool>();
   const char* prompt_field = chat ? "messages" : "prompt";
   const auto prompt = request.body.find(prompt_field);
-  const bool has_prompt =
-      prompt != request.body.end() &&
-      (chat ? prompt->is_array() && !prompt->empty()
-            : prompt->is_string() || prompt->is_array());
+  const bool has_prompt = prompt != request.body.end() &&
+                          (chat ? prompt->is_array() && !prompt->empty()
+                                : prompt->is_string() || prompt->is_array());
   if (!has_prompt) {
     return ParseError(fmt::format("{}: expected {}", prompt_field,
                                   chat ? "a list of messages" : "a text"));
@@ -228,8 +226,8 @@
 std::string FingerprintOf(std::string_view customer,
                           std::string_view target,
                           std::string_view body) {
-  const std::string text = fmt::format("{}\n{}\n{}\n{}", customer.size(),
-                                       customer, target, body);
+  const std::string text =
+      fmt::format("{}\n{}\n{}\n{}", customer.size(), customer, target, body);
   const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
   return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
 }
--- a/rosemaryhook/api.h
+++ b/rosemaryhook/api.h
@@ -45,9 +45,9 @@
 struct CompletionRequest {
   std::string model;  // "adapter@version" or a route's name
   bool stream = false;
-  int64_t max_tokens = 0;  // to generate, over all choices
+  int64_t max_tokens = 0;     // to generate, over all choices
   int64_t prompt_tokens = 0;  // estimate from the prompt's bytes
-  Json body;                // as received, max_tokens made explicit
+  Json body;                  // as received, max_tokens made explicit
 };
 
 // Tokens generated when a request names no maximum.
@@ -77,7 +77,7 @@
   std::string pending;  // an unfinished line, or the JSON document so far
   std::string model;    // empty until seen
   int64_t total_tokens = 0;
-  bool ended = false;  // the stream's [DONE] was seen
+  bool ended = false;     // the stream's [DONE] was seen
   bool overflow = false;  // a line too long to scan
 };
 
--- a/rosemaryhook/backend_state.cc
+++ b/rosemaryhook/backend_state.cc
@@ -90,11 +90,10 @@
 // A suspect that waits must see the backend server idle some time, so nothing
 // that arrived after it starts before it.
 bool SuspectWaits(const BackendState& state) {
-  return std::any_of(state.queue.begin(), state.queue.end(),
-                     [&](const QueuedRequest& r) {
-                       return r.alone && IsReady(state, r) &&
-                              RunningCount(state) > 0;
-                     });
+  return std::any_of(
+      state.queue.begin(), state.queue.end(), [&](const QueuedRequest& r) {
+        return r.alone && IsReady(state, r) && RunningCount(state) > 0;
+      });
 }
 
 void StartRequests(Time now, BackendState* state, std::vector<Action>* out) {
@@ -172,15 +171,14 @@
     return best;
   }
   const auto rank = [&](const auto& entry) {
-    const bool wanted =
-        !entry.second.closing && IsWanted(*state, entry.first);
+    const bool wanted = !entry.second.closing && IsWanted(*state, entry.first);
     return std::make_pair(wanted, entry.second.last_used);
   };
   for (auto it = state->adapters.begin(); it != state->adapters.end(); ++it) {
-    const bool evictable = it->second.phase == AdapterPhase::kResident &&
-                           it->second.pins == 0;
-    if (evictable && (best == state->adapters.end() ||
-                      rank(*it) < rank(*best))) {
+    const bool evictable =
+        it->second.phase == AdapterPhase::kResident && it->second.pins == 0;
+    if (evictable &&
+        (best == state->adapters.end() || rank(*it) < rank(*best))) {
       best = it;
     }
   }
@@ -300,10 +298,9 @@
     return false;
   }
   double& served = state->served[request.customer];
-  const bool is_waiting =
-      std::any_of(state->queue.begin(), state->queue.end(), [&](const auto& r) {
-        return r.customer == request.customer;
-      });
+  const bool is_waiting = std::any_of(
+      state->queue.begin(), state->queue.end(),
+      [&](const auto& r) { return r.customer == request.customer; });
   if (!is_waiting) {
     served = std::max(served, LeastServed(*state));
   }
@@ -312,9 +309,8 @@
 }
 
 bool Dequeue(uint64_t id, BackendState* state) {
-  return std::erase_if(state->queue, [id](const QueuedRequest& r) {
-           return r.id == id;
-         }) > 0;
+  return std::erase_if(state->queue,
+                       [id](const QueuedRequest& r) { return r.id == id; }) > 0;
 }
 
 std::vector<Action> Schedule(Time now, BackendState* state) {
--- a/rosemaryhook/backend_state.h
+++ b/rosemaryhook/backend_state.h
@@ -80,7 +80,7 @@
   bool draining = false;    // no new work; to be released or to leave
   bool taken_over = false;  // an earlier owner's requests can still run
   Time taken_over_at;
-  Time quiet_until;         // nothing starts and no order is given before
+  Time quiet_until;  // nothing starts and no order is given before
   std::string incarnation;
   std::map<uint64_t, RunningRequest> running;
   std::map<std::string, ResidentAdapter> adapters;
--- a/rosemaryhook/blackboard.h
+++ b/rosemaryhook/blackboard.h
@@ -34,7 +34,7 @@
   std::string session;
   FleetState fleet;
   Contact contact;
-  std::map<std::string, Liveness> liveness;       // by session
+  std::map<std::string, Liveness> liveness;  // by session
   Directory directory;
   Rates rates;
   Suspects suspects;
--- a/rosemaryhook/booking.cc
+++ b/rosemaryhook/booking.cc
@@ -29,7 +29,9 @@
 
 // One attempt to replace the row `before` by `after`; either may be null for
 // "no row". True once the table says that it is done or can never be.
-awaitable<bool> TryReplace(HostPtr host, std::string row, Json before,
+awaitable<bool> TryReplace(HostPtr host,
+                           std::string row,
+                           Json before,
                            Json after) {
   Transaction transaction;
   transaction.conditions = {{row, std::move(before)}};
@@ -44,8 +46,11 @@
 }
 
 // Repeats a replacement until it is settled; false if `give_up` comes first.
-awaitable<bool> ReplaceUntil(HostPtr host, std::string row, Json before,
-                             Json after, Time give_up) {
+awaitable<bool> ReplaceUntil(HostPtr host,
+                             std::string row,
+                             Json before,
+                             Json after,
+                             Time give_up) {
   bool is_settled = false;
   while (!is_settled && Now() < give_up) {
     is_settled = co_await TryReplace(host, row, before, after);
@@ -56,7 +61,10 @@
   co_return is_settled;
 }
 
-awaitable<void> Replace(HostPtr host, std::string row, Json before, Json after,
+awaitable<void> Replace(HostPtr host,
+                        std::string row,
+                        Json before,
+                        Json after,
                         Time deadline) {
   const bool is_settled =
       co_await ReplaceUntil(host, row, before, after, deadline);
@@ -179,8 +187,9 @@
     Transaction transaction;
     transaction.conditions = {{row, Json()}};
     transaction.puts = {{row, ToJson(mine)}};
-    const auto done = co_await Transact(host->table, std::move(transaction),
-                                        std::min(deadline, Now() + kWriteLimit));
+    const auto done =
+        co_await Transact(host->table, std::move(transaction),
+                          std::min(deadline, Now() + kWriteLimit));
     const Committed* committed = std::get_if<Committed>(&done);
     if (committed != nullptr && *committed == Committed::kYes) {
       co_return CallClaimed{mine};
@@ -220,7 +229,9 @@
                    deadline);
 }
 
-awaitable<void> ForgetCall(HostPtr host, CallId id, CallRecord record,
+awaitable<void> ForgetCall(HostPtr host,
+                           CallId id,
+                           CallRecord record,
                            Time deadline) {
   co_await Replace(host, RowOf(id), ClaimedRow(record), Json(), deadline);
 }
--- a/rosemaryhook/booking.h
+++ b/rosemaryhook/booking.h
@@ -78,8 +78,8 @@
                                         CallRecord record,
                                         Time deadline);
 
-// Removes the row of a claimed call that surely did not run, so that it can be made
-// again under the same key. Goes on in the background like RecordCall.
+// Removes the row of a claimed call that surely did not run, so that it can be
+// made again under the same key. Goes on in the background like RecordCall.
 boost::asio::awaitable<void> ForgetCall(std::shared_ptr<Host> host,
                                         CallId id,
                                         CallRecord record,
--- a/rosemaryhook/caller_service.cc
+++ b/rosemaryhook/caller_service.cc
@@ -40,8 +40,7 @@
                   {kRunHeader, std::string(RunStateName(refusal.run))}};
   if (refusal.retry_after) {
     headers.emplace_back(
-        "retry-after",
-        std::to_string(RetryAfterSeconds(*refusal.retry_after)));
+        "retry-after", std::to_string(RetryAfterSeconds(*refusal.retry_after)));
   }
   Log("refused", {{"status", refusal.status},
                   {"code", refusal.code},
@@ -53,7 +52,9 @@
   co_await reply.Send(refusal.status, std::move(headers), ErrorBody(refusal));
 }
 
-Refusal MakeRefusal(int status, Step step, std::string code,
+Refusal MakeRefusal(int status,
+                    Step step,
+                    std::string code,
                     std::string message) {
   Refusal refusal;
   refusal.status = status;
@@ -63,11 +64,10 @@
 }
 
 Refusal NotActing(const Host& host) {
-  Refusal refusal =
-      MakeRefusal(503, Step::kAdmit, "not_in_contact",
-                  "this host may not act now: " +
-                      std::string(host.board.draining ? "draining"
-                                                      : WhyNotActing(host)));
+  Refusal refusal = MakeRefusal(
+      503, Step::kAdmit, "not_in_contact",
+      "this host may not act now: " +
+          std::string(host.board.draining ? "draining" : WhyNotActing(host)));
   refusal.retry_after = std::chrono::seconds(1);
   return refusal;
 }
@@ -80,8 +80,7 @@
 }
 
 std::optional<Refusal> AuthenticateCall(Call* call) {
-  const std::string key =
-      BearerToken(HeaderOf(call->request, "authorization"));
+  const std::string key = BearerToken(HeaderOf(call->request, "authorization"));
   const auto customer = Authenticate(call->host->board.fleet, key);
   if (const Refusal* refusal = std::get_if<Refusal>(&customer)) {
     return *refusal;
@@ -122,10 +121,9 @@
     return MakeRefusal(400, error->step, "malformed_request", error->message);
   }
   auto& completion = std::get<CompletionRequest>(parsed);
-  if (auto refusal =
-          TakeTarget(ResolveModel(call->host->board.fleet, call->customer,
-                                  completion.model),
-                     call)) {
+  if (auto refusal = TakeTarget(ResolveModel(call->host->board.fleet,
+                                             call->customer, completion.model),
+                                call)) {
     return refusal;
   }
   completion.body["model"] = call->target.adapter;
@@ -140,10 +138,10 @@
 std::optional<Refusal> ParseServiceCall(Call* call) {
   const std::string rest = call->request.target.substr(kServices.size());
   const size_t end = std::min(rest.find_first_of("/?"), rest.size());
-  if (auto refusal = TakeTarget(
-          ResolveService(call->host->board.fleet, call->customer,
-                         rest.substr(0, end)),
-          call)) {
+  if (auto refusal =
+          TakeTarget(ResolveService(call->host->board.fleet, call->customer,
+                                    rest.substr(0, end)),
+                     call)) {
     return refusal;
   }
   const std::string path = rest.substr(end);
@@ -188,12 +186,12 @@
 }
 
 Refusal RateRefusal(const Call& call, double shortfall) {
-  const Customer& customer =
-      call.host->board.fleet.customers.at(call.customer);
+  const Customer& customer = call.host->board.fleet.customers.at(call.customer);
   if (call.cost > customer.burst) {
     return MakeRefusal(
         400, Step::kAdmit, "exceeds_burst",
-        "the request can use " + std::to_string(static_cast<int64_t>(call.cost)) +
+        "the request can use " +
+            std::to_string(static_cast<int64_t>(call.cost)) +
             " tokens, more than the customer's burst of " +
             std::to_string(static_cast<int64_t>(customer.burst)));
   }
@@ -273,17 +271,16 @@
                                          AnswerSink sink) {
   DispatchResult result =
       co_await Relay(call.host, WantedFor(call), call.dispatch, sink);
-  Settle(call.customer, reservation, call.cost, UsedTokens(call, result),
-         Now(), &call.host->board.rates);
+  Settle(call.customer, reservation, call.cost, UsedTokens(call, result), Now(),
+         &call.host->board.rates);
   co_return result;
 }
 
 void NoteAnswered(const Call& call, int status) {
   Metrics& metrics = call.host->board.metrics;
   metrics.Count("answers_total", "status=\"" + std::to_string(status) + "\"");
-  metrics.Observe(
-      "answer_seconds",
-      std::chrono::duration<double>(Now() - call.arrived).count());
+  metrics.Observe("answer_seconds",
+                  std::chrono::duration<double>(Now() - call.arrived).count());
 }
 
 // An answer that goes out as it comes in.
@@ -395,8 +392,7 @@
 awaitable<void> AnswerBooking(Call& call,
                               uint64_t reservation,
                               const std::string& key) {
-  const CallId id{call.customer,
-                  DigestKey(call.request.target + "\n" + key)};
+  const CallId id{call.customer, DigestKey(call.request.target + "\n" + key)};
   auto claim = co_await ClaimCall(call.host, id, call.dispatch.fingerprint,
                                   Now() + kBookingLimit);
   if (auto* claimed = std::get_if<CallClaimed>(&claim)) {
@@ -459,15 +455,16 @@
 }  // namespace
 
 HttpHandler CallerHandler(HostPtr host) {
-  return [host](const HttpRequest& request, HttpReply& reply) {
-    return ServeCall(host, request, reply);
-  };
+  return
+      [host = std::move(host)](const HttpRequest& request, HttpReply& reply) {
+        return ServeCall(host, request, reply);
+      };
 }
 
 std::pair<Headers, std::string> UnreadableRefusal(int status,
                                                   const std::string& message) {
-  const Refusal refusal = MakeRefusal(status, Step::kParse,
-                                      "unreadable_request", message);
+  const Refusal refusal =
+      MakeRefusal(status, Step::kParse, "unreadable_request", message);
   return {{{"content-type", "application/json"},
            {kRunHeader, std::string(RunStateName(refusal.run))}},
           ErrorBody(refusal)};
--- a/rosemaryhook/claims.cc
+++ b/rosemaryhook/claims.cc
@@ -45,10 +45,8 @@
     const auto found = fleet.claims.find(resource);
     const std::string owner =
         found == fleet.claims.end() ? "" : found->second.owner;
-    const std::string preferred =
-        PreferredOwner(fleet, resource, unavailable);
-    const bool is_vacant = owner.empty() ||
-                           !fleet.sessions.contains(owner) ||
+    const std::string preferred = PreferredOwner(fleet, resource, unavailable);
+    const bool is_vacant = owner.empty() || !fleet.sessions.contains(owner) ||
                            unavailable.contains(owner);
     if (owner == self && preferred != self && !preferred.empty()) {
       plan.releases.push_back(resource);
--- a/rosemaryhook/contact.cc
+++ b/rosemaryhook/contact.cc
@@ -154,9 +154,9 @@
   if (!contact->memberships.empty() && before == members) {
     return;
   }
-  std::set_difference(
-      before.begin(), before.end(), members.begin(), members.end(),
-      std::inserter(contact->dropped, contact->dropped.end()));
+  std::set_difference(before.begin(), before.end(), members.begin(),
+                      members.end(),
+                      std::inserter(contact->dropped, contact->dropped.end()));
   contact->memberships[fleet.revision] = std::move(members);
   Prune(contact);
 }
--- a/rosemaryhook/contact.h
+++ b/rosemaryhook/contact.h
@@ -46,14 +46,14 @@
 };
 
 struct Contact {
-  std::string session;           // own session id
-  Revision heard = 0;            // newest revision heard of from anyone
-  Revision in_force = 0;         // newest revision known to be in force
+  std::string session;             // own session id
+  Revision heard = 0;              // newest revision heard of from anyone
+  Revision in_force = 0;           // newest revision known to be in force
   std::optional<Time> table_sent;  // when the newest answered read was sent
   std::map<std::string, PeerContact> peers;
   // Members from each revision at which they changed, back to `in_force`.
   std::map<Revision, Members> memberships;
-  Members dropped;  // sessions that surely act no more
+  Members dropped;                        // sessions that surely act no more
   std::deque<Acknowledged> acknowledged;  // waiting to be in force, by age
 };
 
--- a/rosemaryhook/dispatch.cc
+++ b/rosemaryhook/dispatch.cc
@@ -120,8 +120,7 @@
 
 Result<DispatchFrame> DispatchFrameFromJson(const Json& json) {
   try {
-    const auto type =
-        ValueOf(kFrameNames, json.at("type").get<std::string>());
+    const auto type = ValueOf(kFrameNames, json.at("type").get<std::string>());
     if (!type) {
       return Error{Step::kPeer, "", "a frame of unknown type"};
     }
--- a/rosemaryhook/dispatch.h
+++ b/rosemaryhook/dispatch.h
@@ -1,8 +1,8 @@
 // The message types between an entry host and the owner of a backend server.
 //
 // An entry host sends a DispatchRequest; the owner answers with one AnswerHead,
-// any number of chunks and an AnswerEnd, or with a DispatchFailure at any point.
-// The caller's key is not part of any message.
+// any number of chunks and an AnswerEnd, or with a DispatchFailure at any
+// point. The caller's key is not part of any message.
 #ifndef ROSEMARYHOOK_DISPATCH_H_
 #define ROSEMARYHOOK_DISPATCH_H_
 
--- a/rosemaryhook/dispatcher.cc
+++ b/rosemaryhook/dispatcher.cc
@@ -43,8 +43,7 @@
   if (!why.empty()) {
     return std::string(why);
   }
-  const auto claim =
-      host.board.fleet.claims.find(BackendResource(owned.name));
+  const auto claim = host.board.fleet.claims.find(BackendResource(owned.name));
   if (owned.lost || host.stopping || claim == host.board.fleet.claims.end() ||
       !IsActingOwner(host.board.contact, claim->second)) {
     return "not-owner";
@@ -80,7 +79,9 @@
 }
 
 // Loads draw one token each from the weight store's shared rate.
-awaitable<void> CarryOutLoad(HostPtr host, OwnedPtr owned, std::string adapter) {
+awaitable<void> CarryOutLoad(HostPtr host,
+                             OwnedPtr owned,
+                             std::string adapter) {
   const Time begun = Now();
   const Time deadline = begun + kLoadLimit;
   const bool admitted = co_await AdmitLoad(host, deadline);
@@ -90,7 +91,8 @@
     why = WhyClosed(*host, *owned);
     if (why.empty()) {
       auto fetched = co_await Fetch(
-          &host->pool, OrderCall(*owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
+          &host->pool,
+          OrderCall(*owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
       loaded = IsOk(fetched);
       why = loaded ? "ordered" : WhyFailed(fetched);
     }
@@ -117,8 +119,8 @@
   bool evicted = false;
   if (closed.empty()) {
     auto fetched = co_await Fetch(
-        &host->pool, OrderCall(*owned, "/v1/unload_lora_adapter", adapter,
-                               kEvictLimit));
+        &host->pool,
+        OrderCall(*owned, "/v1/unload_lora_adapter", adapter, kEvictLimit));
     evicted = IsOk(fetched);
     closed = evicted ? why : WhyFailed(fetched);
   }
@@ -144,7 +146,9 @@
   owned->waiters.erase(found);
 }
 
-void CarryOut(const HostPtr& host, const OwnedPtr& owned, const Action& action) {
+void CarryOut(const HostPtr& host,
+              const OwnedPtr& owned,
+              const Action& action) {
   switch (action.kind) {
     case ActionKind::kStart:
     case ActionKind::kRefuse:
@@ -244,8 +248,7 @@
 
 awaitable<void> ReportLoop(HostPtr host, OwnedPtr owned) {
   while (!owned->lost && !host->stopping) {
-    const auto report =
-        co_await FetchReport(host, owned->state.config.address);
+    const auto report = co_await FetchReport(host, owned->state.config.address);
     if (!owned->lost) {
       TakeReport(owned, report);
     }
@@ -315,9 +318,9 @@
     }
   }
   if (!waiter->refused.empty()) {
-    const std::string code =
-        waiter->refused == "deadline-in-queue" ? "timeout_in_queue"
-                                               : "refused_by_owner";
+    const std::string code = waiter->refused == "deadline-in-queue"
+                                 ? "timeout_in_queue"
+                                 : "refused_by_owner";
     co_return NotRun(owned.get(), Step::kQueue, code, waiter->refused);
   }
   co_return std::nullopt;
@@ -325,8 +328,9 @@
 
 bool IsHopByHop(const std::string& name) {
   constexpr std::array<std::string_view, 7> kNames{
-      "connection", "keep-alive",        "transfer-encoding", "content-length",
-      "upgrade",    "proxy-authenticate", "trailer"};
+      "connection",     "keep-alive", "transfer-encoding",
+      "content-length", "upgrade",    "proxy-authenticate",
+      "trailer"};
   return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view n) {
     return beast::iequals({n.data(), n.size()}, name);
   });
@@ -547,8 +551,8 @@
       failure != nullptr && failure->run == RunState::kUnknown &&
       (failure->code == "no_answer" || failure->code == "answer_cut");
   if (may_have_crashed && owned->state.config.kind == BackendKind::kRunner) {
-    failure->crashed = co_await HasCrashed(
-        host, owned->state.config.address, incarnation);
+    failure->crashed =
+        co_await HasCrashed(host, owned->state.config.address, incarnation);
   }
   co_return result;
 }
@@ -580,10 +584,9 @@
   static uint64_t next_id = 0;
   const Turn turn{host, owned, ++next_id};
   auto waiter = std::make_shared<Waiter>(host->io.get_executor());
-  const QueuedRequest queued{turn.id,        request.customer,
-                             request.adapter, request.cost,
-                             request.weight,  Now(),
-                             request.deadline, request.alone};
+  const QueuedRequest queued{
+      turn.id, request.customer, request.adapter, request.cost, request.weight,
+      Now(),   request.deadline, request.alone};
   if (!Enqueue(queued, &owned->state)) {
     co_return NotRun(owned.get(), Step::kQueue, "queue_full",
                      "the queue is full");
@@ -605,8 +608,8 @@
        {"customer", request.customer},
        {"adapter", request.adapter},
        {"result", failure == nullptr ? "whole" : failure->code},
-       {"run", RunStateName(failure == nullptr ? RunState::kRan
-                                               : failure->run)},
+       {"run",
+        RunStateName(failure == nullptr ? RunState::kRan : failure->run)},
        {"waited_ms", Millis(Now() - queued.arrived)},
        {"why", failure == nullptr ? "" : failure->error.message}});
   co_return result;
@@ -645,9 +648,8 @@
     owned->state.taken_over = claim->second.wait_for > 0;
     owned->state.taken_over_at = Now();
     owned->state.quiet_until =
-        owned->state.taken_over && !backend.checks_fencing
-            ? Now() + kEvictLimit
-            : Time{};
+        owned->state.taken_over && !backend.checks_fencing ? Now() + kEvictLimit
+                                                           : Time{};
     host->owned[name] = owned;
     Log("owner", {{"backend", name},
                   {"fence", claim->second.fence},
--- a/rosemaryhook/dispatcher.h
+++ b/rosemaryhook/dispatcher.h
@@ -12,8 +12,8 @@
 #include <memory>
 #include <string>
 
-#include "rosemaryhook/backend_state.h"
 #include "rosemaryhook/answer_sink.h"
+#include "rosemaryhook/backend_state.h"
 #include "rosemaryhook/dispatch.h"
 #include "rosemaryhook/signal.h"
 
@@ -38,9 +38,9 @@
   std::string name;
   BackendState state;
   std::map<uint64_t, std::shared_ptr<Waiter>> waiters;
-  Signal pump;           // wakes the loop that schedules
+  Signal pump;  // wakes the loop that schedules
   bool reachable = true;
-  bool lost = false;     // this host owns it no more
+  bool lost = false;  // this host owns it no more
   int failed_reports = 0;
 };
 
--- a/rosemaryhook/fleet_state.cc
+++ b/rosemaryhook/fleet_state.cc
@@ -44,8 +44,8 @@
   }
   const std::string owner = op.value->at("owner").get<std::string>();
   Claim& claim = state->claims[op.name];
-  const bool is_takeover = !claim.owner.empty() && !owner.empty() &&
-                           claim.owner != owner;
+  const bool is_takeover =
+      !claim.owner.empty() && !owner.empty() && claim.owner != owner;
   if (is_takeover) {
     claim.wait_for = revision;
   }
@@ -190,9 +190,9 @@
 }
 
 Json ToJson(const FleetState& state) {
-  return {{"revision", state.revision}, {"customer", state.customers},
-          {"adapter", state.adapters},  {"backend", state.backends},
-          {"route", state.routes},      {"key", state.keys},
+  return {{"revision", state.revision},  {"customer", state.customers},
+          {"adapter", state.adapters},   {"backend", state.backends},
+          {"route", state.routes},       {"key", state.keys},
           {"zone_out", state.zones_out}, {"session", state.sessions},
           {"claim", state.claims}};
 }
@@ -216,9 +216,8 @@
 }
 
 void to_json(Json& json, const Customer& value) {
-  json = {{"rate", value.rate},
-          {"burst", value.burst},
-          {"weight", value.weight}};
+  json = {
+      {"rate", value.rate}, {"burst", value.burst}, {"weight", value.weight}};
 }
 
 void from_json(const Json& json, Customer& value) {
@@ -282,9 +281,8 @@
 }
 
 void to_json(Json& json, const Session& value) {
-  json = {{"host", value.host},
-          {"zone", value.zone},
-          {"address", value.address}};
+  json = {
+      {"host", value.host}, {"zone", value.zone}, {"address", value.address}};
 }
 
 void from_json(const Json& json, Session& value) {
--- a/rosemaryhook/fleet_state.h
+++ b/rosemaryhook/fleet_state.h
@@ -58,9 +58,9 @@
 struct Backend {
   BackendKind kind = BackendKind::kRunner;
   std::string zone;
-  std::string address;  // ip:port
-  std::string group;    // base model of a runner, name of a service
-  int slots = 1;        // requests it runs at once
+  std::string address;    // ip:port
+  std::string group;      // base model of a runner, name of a service
+  int slots = 1;          // requests it runs at once
   int adapter_slots = 0;  // adapters it holds at once, 0 for a service
   bool checks_fencing = false;
   bool operator==(const Backend&) const = default;
--- a/rosemaryhook/fleet_sync.cc
+++ b/rosemaryhook/fleet_sync.cc
@@ -72,8 +72,8 @@
   const auto applied = ApplyChange(change, &board.fleet);
   if (const Error* error = Failure(applied)) {
     // Every host refuses the same change alike, so it has no effect anywhere.
-    Log("change_refused", {{"revision", change.revision},
-                           {"why", error->message}});
+    Log("change_refused",
+        {{"revision", change.revision}, {"why", error->message}});
     board.fleet.revision = change.revision;
   }
   NoteApplied(board.fleet, &board.contact);
@@ -83,14 +83,14 @@
   if (host->recent.size() > kRecentChanges) {
     host->recent.pop_front();
   }
-  Log("change", {{"revision", change.revision},
-                 {"author", change.author},
-                 {"ops", change.ops.size()},
-                 {"first", change.ops.empty()
-                               ? ""
-                               : std::string(SectionName(
-                                     change.ops.front().section)) +
-                                     ":" + change.ops.front().name}});
+  Log("change",
+      {{"revision", change.revision},
+       {"author", change.author},
+       {"ops", change.ops.size()},
+       {"first", change.ops.empty()
+                     ? ""
+                     : std::string(SectionName(change.ops.front().section)) +
+                           ":" + change.ops.front().name}});
 }
 
 void ApplyAll(const HostPtr& host, const std::vector<Change>& changes) {
@@ -131,9 +131,8 @@
 
 awaitable<void> CatchUp(HostPtr host) {
   const Revision since = host->board.fleet.revision;
-  auto read = co_await ReadChanges(host->table, since,
-                                   host->board.contact.heard,
-                                   Now() + kTableLimit);
+  auto read = co_await ReadChanges(
+      host->table, since, host->board.contact.heard, Now() + kTableLimit);
   if (const auto* changes = std::get_if<std::vector<Change>>(&read)) {
     ApplyAll(host, *changes);
   } else {
@@ -293,9 +292,8 @@
   const Time sent = Now();
   auto answer = co_await peer->link.Call(
       "/contact",
-      Fields("session", host->board.session, "known",
-             host->board.contact.heard, "in_force",
-             host->board.contact.in_force),
+      Fields("session", host->board.session, "known", host->board.contact.heard,
+             "in_force", host->board.contact.in_force),
       sent + kContactLimit);
   if (const Json* json = std::get_if<Json>(&answer)) {
     TakeContactAnswer(host, session, *json, sent);
@@ -320,8 +318,7 @@
   for (int64_t counter = 1; !host->stopping; ++counter) {
     Transaction transaction;
     transaction.puts[HeartbeatRow(host->board.session)] = counter;
-    co_await Transact(host->table, std::move(transaction),
-                      Now() + kTableLimit);
+    co_await Transact(host->table, std::move(transaction), Now() + kTableLimit);
     co_await Sleep(host->board.settings.heartbeat);
   }
 }
@@ -343,13 +340,12 @@
 awaitable<void> WriteInForce(HostPtr host) {
   const Revision in_force = host->board.contact.in_force;
   Transaction transaction;
-  transaction.conditions = {
-      {kInForceRow,
-       host->table_in_force == 0 ? Json() : Json(host->table_in_force)}};
+  transaction.conditions = {{kInForceRow, host->table_in_force == 0
+                                              ? Json()
+                                              : Json(host->table_in_force)}};
   transaction.puts[kInForceRow] = in_force;
-  const auto done =
-      co_await Transact(host->table, std::move(transaction),
-                        Now() + kTableLimit);
+  const auto done = co_await Transact(host->table, std::move(transaction),
+                                      Now() + kTableLimit);
   const auto* committed = std::get_if<Committed>(&done);
   if (committed != nullptr && *committed == Committed::kYes) {
     host->table_in_force = in_force;
@@ -408,8 +404,8 @@
     }
   }
   for (const std::string& resource : plan.claims) {
-    ops.push_back(PutOp(Section::kClaim, resource,
-                        {{"owner", host.board.session}}));
+    ops.push_back(
+        PutOp(Section::kClaim, resource, {{"owner", host.board.session}}));
   }
   return ops;
 }
@@ -442,8 +438,8 @@
 
 bool CanCommit(const Host& host) {
   const Contact& contact = host.board.contact;
-  const bool has_table = contact.table_sent &&
-                         Now() - *contact.table_sent < kContactSpan;
+  const bool has_table =
+      contact.table_sent && Now() - *contact.table_sent < kContactSpan;
   return has_table && MayAct(host);
 }
 
@@ -490,8 +486,7 @@
 
 awaitable<void> GoneLoop(HostPtr host) {
   while (!host->stopping) {
-    const auto listed =
-        co_await ListHosts(host->table, Now() + kTableLimit);
+    const auto listed = co_await ListHosts(host->table, Now() + kTableLimit);
     if (const auto* hosts = std::get_if<std::set<std::string>>(&listed)) {
       TakeHostList(host, *hosts);
     } else {
@@ -597,9 +592,9 @@
 void StartFleetLoops(const HostPtr& host) {
   host->in_force_moved = Now();
   host->table_good_since = Now();
-  for (auto loop : {TableLoop, ContactLoop, CatchUpLoop, HeartbeatLoop,
-                    InForceLoop, ClaimLoop, GoneLoop, SnapshotLoop,
-                    RemovalLoop}) {
+  for (auto loop :
+       {TableLoop, ContactLoop, CatchUpLoop, HeartbeatLoop, InForceLoop,
+        ClaimLoop, GoneLoop, SnapshotLoop, RemovalLoop}) {
     asio::co_spawn(host->io, loop(host), asio::detached);
   }
 }
@@ -608,10 +603,9 @@
   Blackboard& board = host->board;
   const Time deadline = Now() + board.settings.drain_limit;
   const auto owns_something = [&] {
-    return std::any_of(board.fleet.claims.begin(), board.fleet.claims.end(),
-                       [&](const auto& entry) {
-                         return entry.second.owner == board.session;
-                       });
+    return std::any_of(
+        board.fleet.claims.begin(), board.fleet.claims.end(),
+        [&](const auto& entry) { return entry.second.owner == board.session; });
   };
   // With another host in contact the claim loop gives everything back.
   while (Now() < deadline && owns_something() && !host->peers.empty()) {
--- a/rosemaryhook/host.h
+++ b/rosemaryhook/host.h
@@ -38,7 +38,7 @@
   Blackboard board;
   HttpPool pool;
   Table table;
-  std::map<std::string, std::shared_ptr<Peer>> peers;  // by session
+  std::map<std::string, std::shared_ptr<Peer>> peers;          // by session
   std::map<std::string, std::shared_ptr<OwnedBackend>> owned;  // by name
   std::deque<Change> recent;  // newest changes, for peers that lag
   Revision table_in_force = 0;
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -34,8 +34,6 @@
 using asio::awaitable;
 using asio::ip::tcp;
 
-
-
 struct HttpLimits {
   size_t body_bytes = 1 << 20;
   size_t header_bytes = 16 << 10;
@@ -87,8 +85,9 @@
     std::function<awaitable<void>(const HttpRequest&, HttpReply&)>;
 
 // Body for a request that the server refuses before the handler sees it.
-using HttpRefusal = std::function<std::pair<Headers, std::string>(
-    int status, const std::string& message)>;
+using HttpRefusal =
+    std::function<std::pair<Headers, std::string>(int status,
+                                                  const std::string& message)>;
 
 // Open connections of a server; Shutdown ends it without cutting a response.
 struct HttpServer {
@@ -117,7 +116,7 @@
   std::string target;
   Headers headers;
   std::string body;
-  Time deadline;            // for the whole exchange
+  Time deadline;              // for the whole exchange
   Duration progress_limit{};  // longest silence, 0 for none but the deadline
   bool fresh_connection = false;  // for calls that may not be repeated
 };
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -69,12 +69,12 @@
   if (const Error* error = Failure(endpoint)) {
     co_return *error;
   }
-  stream_ = std::make_unique<beast::tcp_stream>(
-      co_await asio::this_coro::executor);
+  stream_ =
+      std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
   stream_->expires_after(
       std::clamp(call_.deadline - Now(), Duration(1), kConnectLimit));
-  auto [ec] = co_await stream_->async_connect(
-      std::get<tcp::endpoint>(endpoint), kToTuple);
+  auto [ec] = co_await stream_->async_connect(std::get<tcp::endpoint>(endpoint),
+                                              kToTuple);
   if (ec) {
     co_return MakeError(Step::kConnect, ec);
   }
--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -27,8 +27,8 @@
   if (ec == beast::error::timeout) {
     return has_bytes ? 408 : 0;
   }
-  if (ec.category() == http::make_error_code(http::error::bad_method)
-                           .category() &&
+  if (ec.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
       ec != http::error::end_of_stream && ec != http::error::partial_message) {
     return 400;
   }
@@ -49,6 +49,61 @@
 
 using Parser = http::request_parser<http::string_body>;
 
+// Cancels the stream's operations when a deadline passes. Unlike the stream's
+// own expiry this leaves the connection open, so that a 408 can be sent.
+class ReadTimer {
+ public:
+  ReadTimer(beast::tcp_stream* stream, Duration limit)
+      : timer_(stream->get_executor(), limit) {
+    timer_.async_wait([stream, state = state_](beast::error_code ec) {
+      if (!ec && !state->is_done) {
+        state->has_expired = true;
+        stream->cancel();
+      }
+    });
+  }
+  ~ReadTimer() { state_->is_done = true; }
+  ReadTimer(const ReadTimer&) = delete;
+  ReadTimer& operator=(const ReadTimer&) = delete;
+
+  // `ec`, or a timeout if that is what ended the operation.
+  beast::error_code Outcome(beast::error_code ec) const {
+    return ec && state_->has_expired ? beast::error::timeout : ec;
+  }
+
+ private:
+  struct State {
+    bool is_done = false;
+    bool has_expired = false;
+  };
+  std::shared_ptr<State> state_ = std::make_shared<State>();
+  asio::steady_timer timer_;
+};
+
+// Waits for the first byte of the next request.
+awaitable<beast::error_code> AwaitFirstByte(const HttpLimits& limits,
+                                            beast::tcp_stream* stream,
+                                            beast::flat_buffer* buffer) {
+  stream->expires_after(limits.idle_timeout);
+  auto [ec, n] = co_await stream->async_read_some(
+      buffer->prepare(limits.header_bytes), kToTuple);
+  stream->expires_never();
+  if (!ec) {
+    buffer->commit(n);
+  }
+  co_return ec;
+}
+
+awaitable<beast::error_code> ReadHeader(const HttpLimits& limits,
+                                        beast::tcp_stream* stream,
+                                        beast::flat_buffer* buffer,
+                                        Parser* parser) {
+  const ReadTimer timer(stream, limits.header_timeout);
+  auto [ec, n] =
+      co_await http::async_read_header(*stream, *buffer, *parser, kToTuple);
+  co_return timer.Outcome(ec);
+}
+
 // Reads one request. The header has to arrive within header_timeout of its
 // first byte, the body within the same time again.
 awaitable<beast::error_code> ReadRequest(const HttpLimits& limits,
@@ -56,17 +111,14 @@
                                          beast::flat_buffer* buffer,
                                          Parser* parser) {
   if (buffer->size() == 0) {
-    stream->expires_after(limits.idle_timeout);
-    auto [ec, n] = co_await stream->async_read_some(
-        buffer->prepare(limits.header_bytes), kToTuple);
+    const beast::error_code ec =
+        co_await AwaitFirstByte(limits, stream, buffer);
     if (ec) {
       co_return ec;
     }
-    buffer->commit(n);
   }
-  stream->expires_after(limits.header_timeout);
-  auto [header_ec, header_n] =
-      co_await http::async_read_header(*stream, *buffer, *parser, kToTuple);
+  const beast::error_code header_ec =
+      co_await ReadHeader(limits, stream, buffer, parser);
   if (header_ec) {
     co_return header_ec;
   }
@@ -77,10 +129,10 @@
       co_return ec;
     }
   }
-  stream->expires_after(limits.header_timeout);
+  const ReadTimer timer(stream, limits.header_timeout);
   auto [body_ec, body_n] =
       co_await http::async_read(*stream, *buffer, *parser, kToTuple);
-  co_return body_ec;
+  co_return timer.Outcome(body_ec);
 }
 
 HttpRequest TakeRequest(Parser* parser) {
@@ -175,8 +227,8 @@
 
 awaitable<bool> HttpReply::Send(int status, Headers headers, std::string body) {
   begun_ = true;
-  http::response<http::string_body> response(
-      static_cast<http::status>(status), 11);
+  http::response<http::string_body> response(static_cast<http::status>(status),
+                                             11);
   SetHeaders(headers, &response);
   response.body() = std::move(body);
   response.keep_alive(keep_);
@@ -234,14 +286,12 @@
 Result<tcp::endpoint> ParseAddress(const std::string& address) {
   const size_t colon = address.rfind(':');
   beast::error_code ec;
-  const auto ip =
-      asio::ip::make_address(address.substr(0, std::min(colon, address.size())),
-                             ec);
+  const auto ip = asio::ip::make_address(
+      address.substr(0, std::min(colon, address.size())), ec);
   unsigned port = 0;
   const char* end = address.data() + address.size();
   if (!ec && colon != std::string::npos) {
-    const auto parsed =
-        std::from_chars(address.data() + colon + 1, end, port);
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
     if (parsed.ec == std::errc() && parsed.ptr == end && port <= 65535) {
       return tcp::endpoint(ip, static_cast<uint16_t>(port));
     }
--- a/rosemaryhook/metrics.cc
+++ b/rosemaryhook/metrics.cc
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <sstream>
+
+// Boost's quantile header uses std::ostringstream without including it.
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -19,11 +21,10 @@
 }  // namespace
 
 struct Metrics::Summary {
-  acc::accumulator_set<
-      double,
-      acc::stats<acc::tag::count,
-                 acc::tag::sum,
-                 acc::tag::extended_p_square_quantile>>
+  acc::accumulator_set<double,
+                       acc::stats<acc::tag::count,
+                                  acc::tag::sum,
+                                  acc::tag::extended_p_square_quantile>>
       samples{acc::extended_p_square_probabilities = kQuantiles};
 };
 
@@ -59,10 +60,9 @@
   for (const auto& [name, series] : counters_) {
     text += fmt::format("# TYPE rosemaryhook_{} counter\n", name);
     for (const auto& [labels, value] : series) {
-      text += labels.empty()
-                  ? fmt::format("rosemaryhook_{} {}\n", name, value)
-                  : fmt::format("rosemaryhook_{}{{{}}} {}\n", name, labels,
-                                value);
+      text += labels.empty() ? fmt::format("rosemaryhook_{} {}\n", name, value)
+                             : fmt::format("rosemaryhook_{}{{{}}} {}\n", name,
+                                           labels, value);
     }
   }
   for (const auto& [name, summary] : summaries_) {
@@ -72,9 +72,9 @@
           "rosemaryhook_{}{{quantile=\"{}\"}} {:.6f}\n", name, q,
           acc::quantile(summary->samples, acc::quantile_probability = q));
     }
-    text += fmt::format("rosemaryhook_{}_count {}\nrosemaryhook_{}_sum {:.6f}\n",
-                        name, acc::count(summary->samples), name,
-                        acc::sum(summary->samples));
+    text += fmt::format(
+        "rosemaryhook_{}_count {}\nrosemaryhook_{}_sum {:.6f}\n", name,
+        acc::count(summary->samples), name, acc::sum(summary->samples));
   }
   return text;
 }
--- a/rosemaryhook/operations.cc
+++ b/rosemaryhook/operations.cc
@@ -74,9 +74,9 @@
     if (list.empty()) {
       co_return OperationResult{fleet.revision, 0};
     }
-    const auto outcome = co_await Commit(table, fleet.revision,
-                                         kOperatorPrefix + author,
-                                         std::move(list), deadline);
+    const auto outcome =
+        co_await Commit(table, fleet.revision, kOperatorPrefix + author,
+                        std::move(list), deadline);
     if (const auto* accepted = std::get_if<Accepted>(&outcome)) {
       co_return OperationResult{fleet.revision, accepted->revision};
     }
--- a/rosemaryhook/operator_service.cc
+++ b/rosemaryhook/operator_service.cc
@@ -97,8 +97,7 @@
     co_await reply.Send(200, text,
                         host->board.metrics.Text() + GaugeText(*host));
   } else if (request.target == "/status") {
-    co_await reply.Send(200, json,
-                        Status(*host).dump(2) + "\n");
+    co_await reply.Send(200, json, Status(*host).dump(2) + "\n");
   } else if (request.target == "/fault" && request.method == "POST" &&
              host->board.settings.fault_injection) {
     co_await TakeFault(host, request, reply);
@@ -111,9 +110,10 @@
 }  // namespace
 
 HttpHandler OperatorHandler(std::shared_ptr<Host> host) {
-  return [host](const HttpRequest& request, HttpReply& reply) {
-    return ServeOperator(host, request, reply);
-  };
+  return
+      [host = std::move(host)](const HttpRequest& request, HttpReply& reply) {
+        return ServeOperator(host, request, reply);
+      };
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/peer_link.cc
+++ b/rosemaryhook/peer_link.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/log.h"
@@ -128,8 +127,8 @@
   static int OnClose(nghttp2_session*, int32_t id, uint32_t code, void* user) {
     PeerConnection* self = Self(user);
     if (const auto stream = self->Find(id)) {
-      stream->broken_ = stream->broken_ || code != NGHTTP2_NO_ERROR ||
-                        !stream->in_end_;
+      stream->broken_ =
+          stream->broken_ || code != NGHTTP2_NO_ERROR || !stream->in_end_;
       stream->readable_.Notify();
       stream->writable_.Notify();
       self->streams_.erase(id);
@@ -149,7 +148,7 @@
     if (count == 0 && !stream->out_end_) {
       return NGHTTP2_ERR_DEFERRED;
     }
-    std::memcpy(buffer, stream->out_.data(), count);
+    std::copy_n(stream->out_.begin(), count, buffer);
     stream->out_.erase(0, count);
     stream->writable_.Notify();
     if (stream->out_.empty() && stream->out_end_) {
@@ -267,8 +266,8 @@
   beast::error_code ec;
   const auto endpoint = socket_.remote_endpoint(ec);
   if (!ec) {
-    remote_ = endpoint.address().to_string() + ":" +
-              std::to_string(endpoint.port());
+    remote_ =
+        endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
   }
   socket_.set_option(tcp::no_delay(true), ec);
   session_ = PeerCallbacks::MakeSession(this);
@@ -308,8 +307,8 @@
   nghttp2_data_provider provider{};
   provider.source.ptr = stream.get();
   provider.read_callback = PeerCallbacks::ReadBody;
-  const int32_t id = nghttp2_submit_request(
-      session_, nullptr, headers.data(), headers.size(), &provider, nullptr);
+  const int32_t id = nghttp2_submit_request(session_, nullptr, headers.data(),
+                                            headers.size(), &provider, nullptr);
   if (id < 0) {
     return nullptr;
   }
@@ -340,7 +339,8 @@
   return found == streams_.end() ? nullptr : found->second;
 }
 
-awaitable<void> PeerConnection::ReadLoop(std::shared_ptr<PeerConnection> /*self*/) {
+awaitable<void> PeerConnection::ReadLoop(
+    std::shared_ptr<PeerConnection> /*self*/) {
   std::array<uint8_t, 16 << 10> buffer;
   while (!closed_) {
     auto [ec, n] =
@@ -383,7 +383,8 @@
   writing_ = false;
 }
 
-awaitable<void> PeerConnection::PingLoop(std::shared_ptr<PeerConnection> /*self*/) {
+awaitable<void> PeerConnection::PingLoop(
+    std::shared_ptr<PeerConnection> /*self*/) {
   while (!closed_) {
     co_await Sleep(kPingInterval);
     if (closed_) {
--- a/rosemaryhook/peer_link.h
+++ b/rosemaryhook/peer_link.h
@@ -79,8 +79,8 @@
   Signal writable_;
 };
 
-using PeerHandler = std::function<boost::asio::awaitable<void>(
-    std::shared_ptr<PeerStream>)>;
+using PeerHandler =
+    std::function<boost::asio::awaitable<void>(std::shared_ptr<PeerStream>)>;
 
 // One HTTP/2 connection, as client or as server.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
--- a/rosemaryhook/placement.cc
+++ b/rosemaryhook/placement.cc
@@ -110,11 +110,11 @@
       return Choice{candidate.name, candidate.owner, "preferred-with-room"};
     }
   }
-  const auto emptiest = std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) {
-        return Fullness(a) < Fullness(b);
-      });
+  const auto emptiest =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const Candidate& a, const Candidate& b) {
+                         return Fullness(a) < Fullness(b);
+                       });
   return Choice{emptiest->name, emptiest->owner, "least-loaded"};
 }
 
--- a/rosemaryhook/placement.h
+++ b/rosemaryhook/placement.h
@@ -36,9 +36,9 @@
 
 struct Wanted {
   BackendKind kind = BackendKind::kRunner;
-  std::string group;    // base model or service
-  std::string adapter;  // "name@version", empty for a service
-  std::string spread;   // hashed when there is no adapter
+  std::string group;               // base model or service
+  std::string adapter;             // "name@version", empty for a service
+  std::string spread;              // hashed when there is no adapter
   std::set<std::string> excluded;  // tried already
 };
 
--- a/rosemaryhook/rates.cc
+++ b/rosemaryhook/rates.cc
@@ -94,8 +94,7 @@
   std::set<int> slots;
   for (int slot = 0; slot < kRateSlots; ++slot) {
     const auto claim = fleet.claims.find(RateSlotResource(slot));
-    if (claim != fleet.claims.end() &&
-        IsActingOwner(contact, claim->second)) {
+    if (claim != fleet.claims.end() && IsActingOwner(contact, claim->second)) {
       slots.insert(slot);
     }
   }
@@ -156,8 +155,7 @@
   }
   Bucket& bucket = found->second;
   Refill(now, &bucket);
-  const double available =
-      std::max(0.0, bucket.level) + SumOf(bucket.taken);
+  const double available = std::max(0.0, bucket.level) + SumOf(bucket.taken);
   // A shortfall from rounding alone is none.
   constexpr double kRounding = 1e-6;
   if (available + kRounding < cost) {
--- a/rosemaryhook/rates.h
+++ b/rosemaryhook/rates.h
@@ -95,10 +95,7 @@
             Rates* rates);
 
 // Gives up to `wanted` tokens to a peer and returns how many.
-double Lend(const std::string& customer,
-            double wanted,
-            Time now,
-            Rates* rates);
+double Lend(const std::string& customer, double wanted, Time now, Rates* rates);
 
 // Credits a loan that was asked for at `asked`. Called once for each answer.
 void AddLoan(const std::string& customer,
--- a/rosemaryhook/relay.cc
+++ b/rosemaryhook/relay.cc
@@ -193,8 +193,8 @@
       break;
     }
     const std::string_view why = co_await AwaitActing(host);
-    const auto chosen = ChooseBackend(host->board.fleet,
-                                      host->board.directory, wanted);
+    const auto chosen =
+        ChooseBackend(host->board.fleet, host->board.directory, wanted);
     const Choice* choice = std::get_if<Choice>(&chosen);
     if (!why.empty() || choice == nullptr) {
       if (now + kNoBackendPause >= give_up || attempts >= kMaxAttempts) {
@@ -253,8 +253,8 @@
       [stream] { return stream->broken(); }};
   const DispatchResult result = co_await Dispatch(
       host, std::move(std::get<DispatchRequest>(parsed)), sink);
-  const DispatchFrame last = std::visit(
-      [](const auto& part) { return DispatchFrame(part); }, result);
+  const DispatchFrame last =
+      std::visit([](const auto& part) { return DispatchFrame(part); }, result);
   co_await stream->Write(ToJson(last));
   stream->Finish();
 }
--- a/rosemaryhook/routing.cc
+++ b/rosemaryhook/routing.cc
@@ -59,8 +59,7 @@
     return TargetAdapter(fleet, customer, route->second.adapter);
   }
   const auto adapter = fleet.adapters.find(model);
-  if (adapter != fleet.adapters.end() &&
-      adapter->second.customer != customer) {
+  if (adapter != fleet.adapters.end() && adapter->second.customer != customer) {
     return Refuse(403, Step::kRoute, "forbidden_adapter",
                   "the adapter belongs to another customer");
   }
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -39,7 +39,9 @@
   };
 }
 
-bool ParseCount(const std::string& text, int64_t low, int64_t high,
+bool ParseCount(const std::string& text,
+                int64_t low,
+                int64_t high,
                 int64_t* value) {
   try {
     size_t end = 0;
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -14,7 +14,6 @@
 
 namespace rosemaryhook {
 
-
 struct Settings {
   std::string host;
   std::string zone;
--- a/rosemaryhook/sheet.cc
+++ b/rosemaryhook/sheet.cc
@@ -60,10 +60,9 @@
   csv_set_term_func(&parser, IsCsvLineEnd);
   csv_set_delim(&parser, static_cast<unsigned char>(delimiter));
   Grid grid;
-  const bool read =
-      csv_parse(&parser, text.data(), text.size(), OnCell, OnRow, &grid) ==
-          text.size() &&
-      csv_fini(&parser, OnCell, OnRow, &grid) == 0;
+  const bool read = csv_parse(&parser, text.data(), text.size(), OnCell, OnRow,
+                              &grid) == text.size() &&
+                    csv_fini(&parser, OnCell, OnRow, &grid) == 0;
   csv_free(&parser);
   return read ? std::optional(std::move(grid)) : std::nullopt;
 }
@@ -97,18 +96,19 @@
 
   void Fault(const std::string& column, const std::string& expected) const {
     if (faults_->size() < kMaxFaults) {
-      faults_->push_back(fmt::format("row {}, column {}: expected {}, not \"{}\"",
-                                     row_, column, expected, Text(column)));
+      faults_->push_back(
+          fmt::format("row {}, column {}: expected {}, not \"{}\"", row_,
+                      column, expected, Text(column)));
     }
   }
 
   // Names go into row keys and headers, where some characters have a meaning.
   std::string Name(const std::string& column) const {
-    const std::string text = Text(column);
+    std::string text = Text(column);
     const bool is_plain =
         !text.empty() && std::none_of(text.begin(), text.end(), [](char c) {
-          return static_cast<unsigned char>(c) < 0x20 || c == '/' ||
-                 c == '@' || c == '"';
+          return static_cast<unsigned char>(c) < 0x20 || c == '/' || c == '@' ||
+                 c == '"';
         });
     if (!is_plain) {
       Fault(column, "a name without / @ \" or control characters");
@@ -159,7 +159,7 @@
   }
 
   std::string Address(const std::string& column) const {
-    const std::string text = Text(column);
+    std::string text = Text(column);
     const size_t colon = text.rfind(':');
     int port = 0;
     const char* end = text.data() + text.size();
@@ -258,11 +258,10 @@
 bool HasGroup(const FleetState& state,
               BackendKind kind,
               const std::string& group) {
-  return std::any_of(state.backends.begin(), state.backends.end(),
-                     [&](const auto& entry) {
-                       return entry.second.kind == kind &&
-                              entry.second.group == group;
-                     });
+  return std::any_of(
+      state.backends.begin(), state.backends.end(), [&](const auto& entry) {
+        return entry.second.kind == kind && entry.second.group == group;
+      });
 }
 
 // Checks what one row says of others; `state` holds every valid row.
@@ -288,8 +287,8 @@
     }
     return;
   }
-  const auto adapter = state.adapters.find(row.Text("adapter") + "@" +
-                                           row.Text("version"));
+  const auto adapter =
+      state.adapters.find(row.Text("adapter") + "@" + row.Text("version"));
   if (adapter == state.adapters.end()) {
     row.Fault("version", "a version of an adapter of this sheet");
   } else if (!is_open && adapter->second.customer != row.Text("customer")) {
@@ -300,9 +299,9 @@
 
 const std::set<std::string>& KnownColumns() {
   static const std::set<std::string> columns{
-      "kind",  "name",  "customer",      "version", "model",   "rate",
-      "burst", "weight", "zone",         "address", "slots",   "adapter_slots",
-      "fencing", "adapter", "service", "repeatable", "open",  "note"};
+      "kind",    "name",    "customer", "version",    "model", "rate",
+      "burst",   "weight",  "zone",     "address",    "slots", "adapter_slots",
+      "fencing", "adapter", "service",  "repeatable", "open",  "note"};
   return columns;
 }
 
@@ -310,8 +309,8 @@
   std::set<std::string> seen;
   for (const std::string& column : heading) {
     if (!KnownColumns().contains(column)) {
-      faults->push_back(fmt::format(
-          "row 1, column {}: expected a known column", column));
+      faults->push_back(
+          fmt::format("row 1, column {}: expected a known column", column));
     } else if (!seen.insert(column).second) {
       faults->push_back(
           fmt::format("row 1, column {}: expected the column once", column));
--- a/rosemaryhook/signal.h
+++ b/rosemaryhook/signal.h
@@ -25,8 +25,7 @@
     // A year is longer than any wait and does not overflow the timer's clock.
     constexpr Duration kLongest = std::chrono::hours(24 * 365);
     const Time now = Now();
-    const Duration left =
-        deadline <= now ? Duration::zero() : deadline - now;
+    const Duration left = deadline <= now ? Duration::zero() : deadline - now;
     timer_.expires_after(std::min(left, kLongest));
     co_await timer_.async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
--- a/rosemaryhook/suspects.cc
+++ b/rosemaryhook/suspects.cc
@@ -23,12 +23,13 @@
   if (entries.size() < kMaxSuspects) {
     return;
   }
-  std::erase_if(entries, [now](const auto& e) { return e.second.until <= now; });
+  std::erase_if(entries,
+                [now](const auto& e) { return e.second.until <= now; });
   if (entries.size() >= kMaxSuspects) {
-    entries.erase(std::min_element(
-        entries.begin(), entries.end(), [](const auto& a, const auto& b) {
-          return a.second.until < b.second.until;
-        }));
+    entries.erase(std::min_element(entries.begin(), entries.end(),
+                                   [](const auto& a, const auto& b) {
+                                     return a.second.until < b.second.until;
+                                   }));
   }
 }
 
--- a/rosemaryhook/table.cc
+++ b/rosemaryhook/table.cc
@@ -39,8 +39,7 @@
   HttpCall call;
   call.address = table.address;
   call.target = std::move(target);
-  call.headers = {{"content-type", "application/json"},
-                  {"x-host", table.host}};
+  call.headers = {{"content-type", "application/json"}, {"x-host", table.host}};
   call.body = body.dump();
   call.deadline = deadline;
   auto fetched = co_await Fetch(table.pool, std::move(call));
@@ -68,8 +67,8 @@
                                       Revision revision,
                                       std::string mark,
                                       Time deadline) {
-  auto read = co_await Read(table, Keys(ChangeRow(revision), kHeadRow), "",
-                            deadline);
+  auto read =
+      co_await Read(table, Keys(ChangeRow(revision), kHeadRow), "", deadline);
   if (const Error* error = Failure(read)) {
     co_return *error;
   }
@@ -195,8 +194,7 @@
   co_return std::optional<std::string>(std::move(answer.body));
 }
 
-awaitable<Result<std::set<std::string>>> ListHosts(Table table,
-                                                   Time deadline) {
+awaitable<Result<std::set<std::string>>> ListHosts(Table table, Time deadline) {
   HttpCall call;
   call.address = table.address;
   call.method = "GET";
@@ -271,8 +269,8 @@
                                      Revision revision,
                                      Revision previous,
                                      Time deadline) {
-  const auto stored = co_await PutObject(
-      table, SnapshotObject(revision), std::move(snapshot), deadline);
+  const auto stored = co_await PutObject(table, SnapshotObject(revision),
+                                         std::move(snapshot), deadline);
   if (const Error* error = Failure(stored)) {
     co_return *error;
   }
@@ -280,12 +278,11 @@
   transaction.conditions = {
       {kSnapshotRow, previous == 0 ? Json() : Json(previous)}};
   transaction.puts = {{kSnapshotRow, revision}};
-  for (Revision r = std::max<Revision>(1, previous - kMaxChanges * 2);
+  for (Revision r = std::max<Revision>(1, previous - Revision{2} * kMaxChanges);
        r <= previous; ++r) {
     transaction.deletes.push_back(ChangeRow(r));
   }
-  const auto done =
-      co_await Transact(table, std::move(transaction), deadline);
+  const auto done = co_await Transact(table, std::move(transaction), deadline);
   if (const Error* error = Failure(done)) {
     co_return *error;
   }
@@ -301,8 +298,7 @@
   const Rows& rows = std::get<Rows>(read);
   const Revision head = RevisionIn(rows, kHeadRow);
   if (const Revision revision = RevisionIn(rows, kSnapshotRow)) {
-    auto object =
-        co_await GetObject(table, SnapshotObject(revision), deadline);
+    auto object = co_await GetObject(table, SnapshotObject(revision), deadline);
     if (const Error* error = Failure(object)) {
       co_return *error;
     }
--- /dev/null
+++ b/rosemaryhook/testing/claims_test.cc
@@ -0,0 +1,97 @@
+#include "rosemaryhook/claims.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rosemaryhook {
+namespace {
+
+FleetState FleetOf(int hosts, int backends) {
+  FleetState fleet;
+  for (int i = 0; i < hosts; ++i) {
+    const std::string name = "h" + std::to_string(i);
+    fleet.sessions[name + "-1"] = {name, "z", "127.0.0.1:1"};
+  }
+  for (int i = 0; i < backends; ++i) {
+    fleet.backends["r" + std::to_string(i)] = {};
+  }
+  return fleet;
+}
+
+// Every session claims what it plans to, as the table would apply it.
+void ClaimAll(FleetState* fleet, const std::set<std::string>& unavailable) {
+  for (const auto& [session, value] : fleet->sessions) {
+    if (unavailable.contains(session)) {
+      continue;
+    }
+    const ClaimPlan plan = PlanClaims(*fleet, session, unavailable);
+    Change change{fleet->revision + 1, session, "", {}};
+    for (const std::string& resource : plan.claims) {
+      change.ops.push_back(
+          PutOp(Section::kClaim, resource, {{"owner", session}}));
+    }
+    for (const std::string& resource : plan.releases) {
+      change.ops.push_back(PutOp(Section::kClaim, resource, {{"owner", ""}}));
+    }
+    BOOST_REQUIRE(Failure(ApplyChange(change, fleet)) == nullptr);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(claims)
+
+BOOST_AUTO_TEST_CASE(every_resource_gets_one_owner) {
+  FleetState fleet = FleetOf(8, 21);
+  ClaimAll(&fleet, {});
+  for (const std::string& resource : AllResources(fleet)) {
+    BOOST_TEST(fleet.sessions.contains(fleet.claims.at(resource).owner));
+    BOOST_TEST(fleet.claims.at(resource).wait_for == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_suspected_owner_is_taken_over_and_waits) {
+  FleetState fleet = FleetOf(3, 12);
+  ClaimAll(&fleet, {});
+  const FleetState before = fleet;
+  ClaimAll(&fleet, {"h1-1"});
+  for (const auto& [resource, claim] : fleet.claims) {
+    const Claim& old = before.claims.at(resource);
+    if (old.owner == "h1-1") {
+      BOOST_TEST(claim.owner != "h1-1");
+      BOOST_TEST(claim.wait_for == claim.fence);
+      BOOST_TEST(claim.fence > old.fence);
+    } else {
+      BOOST_TEST(claim.owner == old.owner);  // nothing else moves
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_newcomer_gets_its_share_by_release) {
+  FleetState fleet = FleetOf(2, 30);
+  ClaimAll(&fleet, {});
+  fleet.sessions["h2-1"] = {"h2", "z", "127.0.0.1:1"};
+  ClaimAll(&fleet, {});
+  ClaimAll(&fleet, {});
+  int owned = 0;
+  for (const auto& [resource, claim] : fleet.claims) {
+    owned += claim.owner == "h2-1" ? 1 : 0;
+    BOOST_TEST(claim.wait_for == 0);  // released, not taken over
+  }
+  BOOST_TEST(owned > 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_host_gets_the_same_back) {
+  FleetState fleet = FleetOf(4, 20);
+  ClaimAll(&fleet, {});
+  const FleetState before = fleet;
+  fleet.sessions.erase("h3-1");
+  fleet.sessions["h3-2"] = {"h3", "z", "127.0.0.1:1"};
+  ClaimAll(&fleet, {});
+  for (const auto& [resource, claim] : fleet.claims) {
+    const std::string& old = before.claims.at(resource).owner;
+    BOOST_TEST(claim.owner == (old == "h3-1" ? "h3-2" : old));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- a/rosemaryhook/testing/fake_platform.cc
+++ b/rosemaryhook/testing/fake_platform.cc
@@ -125,9 +125,8 @@
     const double seconds =
         std::chrono::duration<double>(now - platform->load_refilled).count();
     platform->load_refilled = now;
-    platform->load_tokens =
-        std::min(2.0, platform->load_tokens +
-                          seconds * platform->loads_per_second);
+    platform->load_tokens = std::min(
+        2.0, platform->load_tokens + seconds * platform->loads_per_second);
     if (platform->load_tokens >= 1) {
       platform->load_tokens -= 1;
       break;
@@ -148,10 +147,10 @@
     co_return;
   }
   if (request.target == "/stats") {
-    co_await SendJson(reply, 200,
-                      Fields("reads", platform->reads, "writes",
-                             platform->writes, "loads", platform->loads, "rows",
-                             platform->rows.size()));
+    co_await SendJson(
+        reply, 200,
+        Fields("reads", platform->reads, "writes", platform->writes, "loads",
+               platform->loads, "rows", platform->rows.size()));
     co_return;
   }
   if (request.target == "/hosts" && request.method == "PUT") {
--- a/rosemaryhook/testing/fake_runner.cc
+++ b/rosemaryhook/testing/fake_runner.cc
@@ -75,9 +75,8 @@
       !runner->adapters.contains(adapter) &&
       static_cast<int>(runner->adapters.size()) >= runner->adapter_slots;
   if (fails || is_full) {
-    co_await SendJson(reply, 500,
-                      Fields("error",
-                             is_full ? "no free slot" : "load failed"));
+    co_await SendJson(
+        reply, 500, Fields("error", is_full ? "no free slot" : "load failed"));
     co_return;
   }
   runner->adapters.try_emplace(adapter, 0);
@@ -102,13 +101,13 @@
   for (const auto& [adapter, running] : runner->adapters) {
     adapters.push_back(adapter);
   }
-  co_await SendJson(reply, 200,
-                    Fields("incarnation", runner->incarnation, "running",
-                           runner->running, "most_running",
-                           runner->most_running, "completed",
-                           runner->completed, "loads", runner->loads,
-                           "evicted_in_use", runner->evicted_in_use, "fence",
-                           runner->fence, "adapters", adapters));
+  co_await SendJson(
+      reply, 200,
+      Fields("incarnation", runner->incarnation, "running", runner->running,
+             "most_running", runner->most_running, "completed",
+             runner->completed, "loads", runner->loads, "evicted_in_use",
+             runner->evicted_in_use, "fence", runner->fence, "adapters",
+             adapters));
 }
 
 std::string PromptOf(const Json& body) {
@@ -145,8 +144,7 @@
 Json Document(const Completion& completion, const std::string& text) {
   return {{"id", "cmpl"},
           {"model", completion.adapter},
-          {"choices",
-           {Choice(completion.chat, completion.stream, text)}}};
+          {"choices", {Choice(completion.chat, completion.stream, text)}}};
 }
 
 Json Usage(const Completion& completion) {
--- /dev/null
+++ b/rosemaryhook/testing/fleet.cc
@@ -0,0 +1,394 @@
+#include "rosemaryhook/testing/fleet.h"
+
+#include <fcntl.h>
+#include <fmt/core.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+extern char** environ;
+
+namespace rosemaryhook::testing {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr auto kExchangeLimit = std::chrono::seconds(60);
+
+tcp::endpoint EndpointOf(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  return {asio::ip::make_address(address.substr(0, colon)),
+          static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+pid_t Spawn(const std::vector<std::string>& command,
+            const std::string& out,
+            const std::string& err) {
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND;
+  posix_spawn_file_actions_addopen(&actions, 1, out.c_str(), kFlags, 0644);
+  posix_spawn_file_actions_addopen(&actions, 2, err.c_str(), kFlags, 0644);
+  std::vector<char*> arguments;
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  pid_t pid = 0;
+  if (posix_spawn(&pid, arguments[0], &actions, nullptr, arguments.data(),
+                  environ) != 0) {
+    pid = 0;
+  }
+  posix_spawn_file_actions_destroy(&actions);
+  return pid;
+}
+
+int WaitFor(pid_t pid) {
+  int status = 0;
+  waitpid(pid, &status, 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+std::string ReadAll(const std::string& file) {
+  std::ifstream in(file);
+  std::stringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::string Program(const std::string& name) {
+  return std::string(ROSEMARYHOOK_PROGRAMS) + "/" + name;
+}
+
+}  // namespace
+
+std::string Reply::Header(const std::string& name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? "" : found->second;
+}
+
+Reply Exchange(const std::string& address,
+               const std::string& method,
+               const std::string& target,
+               const std::map<std::string, std::string>& headers,
+               const std::string& body) {
+  Reply reply;
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  beast::flat_buffer buffer;
+  http::request<http::string_body> request;
+  request.method_string(method);
+  request.target(target);
+  request.version(11);
+  request.set(http::field::host, address);
+  for (const auto& [name, value] : headers) {
+    request.set(name, value);
+  }
+  request.keep_alive(false);
+  request.body() = body;
+  request.prepare_payload();
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
+  bool is_whole = false;
+  // Deadlines of a tcp_stream hold for asynchronous operations only.
+  stream.expires_after(kExchangeLimit);
+  const auto on_read = [&](beast::error_code ec, size_t) { is_whole = !ec; };
+  const auto on_write = [&](beast::error_code ec, size_t) {
+    if (!ec) {
+      http::async_read(stream, buffer, parser, on_read);
+    }
+  };
+  stream.async_connect(EndpointOf(address), [&](beast::error_code ec) {
+    if (!ec) {
+      http::async_write(stream, request, on_write);
+    }
+  });
+  io.run();
+  reply.body = parser.get().body();
+  for (const auto& field : parser.get()) {
+    reply.headers[std::string(field.name_string())] =
+        std::string(field.value());
+  }
+  if (is_whole) {
+    reply.status = static_cast<int>(parser.get().result_int());
+  }
+  return reply;
+}
+
+std::string SendRaw(const std::string& address, const std::string& bytes) {
+  asio::io_context io;
+  tcp::socket socket(io);
+  beast::error_code ec;
+  socket.connect(EndpointOf(address), ec);
+  asio::write(socket, asio::buffer(bytes), ec);
+  std::string answer;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  return answer;
+}
+
+bool Await(int limit_s, const std::function<bool()>& condition) {
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(limit_s);
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  return true;
+}
+
+std::string ExpectedStart(const std::string& adapter,
+                          const std::string& prompt) {
+  return "[" + adapter + "|" + prompt + "]";
+}
+
+Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
+  folder_ = (std::filesystem::temp_directory_path() /
+             fmt::format("rosemaryhook-{}-{}", getpid(), options_.port))
+                .string();
+  std::filesystem::create_directories(folder_);
+  StartAll();
+}
+
+Fleet::~Fleet() {
+  for (auto& [name, process] : processes_) {
+    if (process.pid > 0) {
+      Kill(process);
+    }
+  }
+  std::filesystem::remove_all(folder_);
+}
+
+std::string Fleet::Address(int offset) const {
+  return fmt::format("127.0.0.1:{}", options_.port + offset);
+}
+
+void Fleet::Start(Process& process) {
+  process.pid = Spawn(process.command, folder_ + "/" + process.name + ".out",
+                      folder_ + "/" + process.name + ".log");
+}
+
+void Fleet::Kill(Process& process) {
+  if (process.pid > 0) {
+    kill(process.pid, SIGKILL);
+    WaitFor(process.pid);
+    process.pid = 0;
+  }
+}
+
+int Fleet::Terminate(Process& process) {
+  kill(process.pid, SIGTERM);
+  const int exit_code = WaitFor(process.pid);
+  process.pid = 0;
+  return exit_code;
+}
+
+void Fleet::Pause(Process& process) const {
+  kill(process.pid, SIGSTOP);
+}
+
+void Fleet::Resume(Process& process) const {
+  kill(process.pid, SIGCONT);
+}
+
+void Fleet::StartAll() {
+  const auto add = [&](const std::string& name,
+                       std::vector<std::string> command) {
+    processes_[name] = {name, std::move(command), 0};
+    Start(processes_[name]);
+  };
+  add("platform", {Program("fake_platform"), "--listen", Platform()});
+  for (int i = 0; i < options_.runners; ++i) {
+    std::vector<std::string> command{Program("fake_runner"),
+                                     "--listen",
+                                     Runner(i),
+                                     "--model",
+                                     "base",
+                                     "--adapter-slots",
+                                     std::to_string(options_.adapter_slots),
+                                     "--token-us",
+                                     std::to_string(options_.token_us),
+                                     "--bears",
+                                     std::to_string(options_.bears)};
+    if (options_.checks_fencing) {
+      command.push_back("--checks-fencing");
+    }
+    add(fmt::format("runner{}", i), command);
+  }
+  for (int i = 0; i < options_.services; ++i) {
+    add(fmt::format("service{}", i),
+        {Program("fake_service"), "--listen", Service(i)});
+  }
+  Await(30,
+        [&] { return Exchange(Platform(), "GET", "/stats").status == 200; });
+  for (int i = 0; i < options_.hosts; ++i) {
+    const std::string file = fmt::format("{}/host{}.yaml", folder_, i);
+    std::ofstream(file) << fmt::format(
+        "host: entry-{}\nzone: zone-{}\ncallers: {}\npeers: {}\n"
+        "operators: {}\ntable: {}\nfault_injection: true\n{}",
+        i, i % 3, Callers(i), Address(20 + i), Operators(i), Platform(),
+        options_.settings);
+    add(fmt::format("host{}", i),
+        {Program("rosemaryhookd"), "--settings", file});
+  }
+  Await(30, [&] {
+    for (int i = 0; i < options_.hosts; ++i) {
+      if (Exchange(Operators(i), "GET", "/readyz").status != 200) {
+        return false;
+      }
+    }
+    return true;
+  });
+  WriteSheet(options_.rate, options_.burst);
+  Apply();
+  AwaitOwners();
+}
+
+void Fleet::WriteSheet(double rate, double burst) {
+  std::ofstream out(folder_ + "/sheet.csv");
+  out << "kind,name,customer,version,model,rate,burst,zone,address,slots,"
+         "adapter_slots,fencing,adapter,service,repeatable,open\n"
+      << fmt::format("customer,marsu,,,,{},{}\n", rate, burst)
+      << "customer,harbour,,,,100000,100000\n";
+  for (int i = 0; i < options_.runners; ++i) {
+    out << fmt::format("runner,r{},,,base,,,zone-{},{},{},{},{}\n", i, i % 3,
+                       Runner(i), options_.slots, options_.adapter_slots,
+                       options_.checks_fencing ? "yes" : "no");
+  }
+  for (int i = 0; i < options_.services; ++i) {
+    out << fmt::format("service,s{},,,,,,zone-{},{},4,,,,booking\n", i, i % 3,
+                       Service(i));
+  }
+  for (int version = 1; version <= 9; ++version) {
+    out << fmt::format("adapter,help,marsu,{},base\n", version)
+        << fmt::format("adapter,splice,harbour,{},base\n", version);
+  }
+  out << "route,family,marsu,3,,,,,,,,,help\n"
+      << "route,quay,,1,,,,,,,,,splice,,,yes\n"
+      << (options_.services > 0 ? "route,reserve,marsu,,,,,,,,,,,booking,no\n"
+                                : "");
+}
+
+void Fleet::Apply() {
+  Ctl({"apply", folder_ + "/sheet.csv"});
+}
+
+std::string Fleet::Ctl(std::vector<std::string> arguments) {
+  std::vector<std::string> command{Program("rosemaryhookctl"), "--table",
+                                   Platform(), "--wait", "60"};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  const std::string out =
+      fmt::format("{}/ctl-{}", folder_,
+                  std::hash<std::thread::id>()(std::this_thread::get_id()));
+  std::filesystem::remove(out);
+  const int exit_code = WaitFor(Spawn(command, out, out));
+  return ReadAll(out) + fmt::format("exit {}\n", exit_code);
+}
+
+std::string Fleet::IssueKey(const std::string& customer) {
+  const std::string text = Ctl({"key", "issue", "--customer", customer});
+  const size_t at = text.find("key rk-");
+  return at == std::string::npos
+             ? ""
+             : text.substr(at + 4, text.find('\n', at) - at - 4);
+}
+
+Reply Fleet::Complete(int i,
+                      const std::string& key,
+                      const std::string& model,
+                      const std::string& prompt,
+                      int max_tokens,
+                      bool stream) {
+  const Json body = {{"model", model},
+                     {"prompt", prompt},
+                     {"max_tokens", max_tokens},
+                     {"stream", stream}};
+  return Exchange(Callers(i), "POST", "/v1/completions",
+                  {{"Authorization", "Bearer " + key},
+                   {"Content-Type", "application/json"}},
+                  body.dump());
+}
+
+Reply Fleet::Book(int i,
+                  const std::string& key,
+                  const std::string& id,
+                  const std::string& idempotency_key) {
+  std::map<std::string, std::string> headers{
+      {"Authorization", "Bearer " + key}};
+  if (!idempotency_key.empty()) {
+    headers["Idempotency-Key"] = idempotency_key;
+  }
+  return Exchange(Callers(i), "POST", "/services/reserve/book", headers,
+                  Json({{"id", id}}).dump());
+}
+
+int Fleet::Bookings(const std::string& id) {
+  int count = 0;
+  for (int i = 0; i < options_.services; ++i) {
+    const Json counts = Exchange(Service(i), "GET", "/count").Document();
+    count += counts.is_object() ? counts.value(id, 0) : 0;
+  }
+  return count;
+}
+
+Json Fleet::Status(int i) {
+  return Exchange(Operators(i), "GET", "/status").Document();
+}
+
+Json Fleet::RunnerReport(int i) {
+  return Exchange(Runner(i), "GET", "/v1/load").Document();
+}
+
+void Fleet::Fault(const std::string& address, const Json& fault) {
+  Exchange(address, "POST", "/fault", {}, fault.dump());
+}
+
+std::string Fleet::Log(const std::string& name) {
+  return ReadAll(folder_ + "/" + name + ".log");
+}
+
+int Fleet::OwnerOf(const std::string& backend) {
+  for (int i = 0; i < options_.hosts; ++i) {
+    if (host(i).pid == 0) {
+      continue;
+    }
+    const Json status = Status(i);
+    if (status.is_object() && status.value("acting", false) &&
+        status.at("owned").contains(backend)) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+void Fleet::AwaitOwners() {
+  Await(60, [&] {
+    for (int i = 0; i < options_.runners; ++i) {
+      if (OwnerOf(fmt::format("r{}", i)) < 0) {
+        return false;
+      }
+    }
+    for (int i = 0; i < options_.services; ++i) {
+      if (OwnerOf(fmt::format("s{}", i)) < 0) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+}  // namespace rosemaryhook::testing
--- /dev/null
+++ b/rosemaryhook/testing/fleet.h
@@ -0,0 +1,148 @@
+// A small fleet of real processes for tests, on loopback.
+//
+//   Fleet fleet({.port = 21000, .hosts = 3, .runners = 2});
+//   std::string key = fleet.IssueKey("marsu");
+//   Reply reply = fleet.Complete(0, key, "help", "hay?", 4);
+//   fleet.Kill(fleet.host(1));
+//
+// Tests wait on conditions with generous limits (Await) and never take the
+// passing of time as a verdict. Everything is ended by the destructor, by the
+// process ids that this object started.
+#ifndef ROSEMARYHOOK_TESTING_FLEET_H_
+#define ROSEMARYHOOK_TESTING_FLEET_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <future>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rosemaryhook/fleet_state.h"
+
+namespace rosemaryhook::testing {
+
+struct Reply {
+  int status = 0;  // 0 if no whole answer came
+  std::map<std::string, std::string> headers;
+  std::string body;
+
+  std::string Header(const std::string& name) const;
+  Json Document() const { return Json::parse(body, nullptr, false); }
+};
+
+struct FleetOptions {
+  int port = 21000;  // first of the 100 ports that the fleet uses
+  int hosts = 3;
+  int runners = 2;
+  int services = 1;
+  int slots = 4;
+  int adapter_slots = 4;
+  bool checks_fencing = true;
+  double rate = 100000;   // of customer marsu
+  double burst = 100000;  // of customer marsu
+  int64_t token_us = 2000;
+  int bears = 0;
+  std::string settings;  // further lines of each daemon's settings
+};
+
+// One process. Its log goes to a file of the fleet's folder.
+struct Process {
+  std::string name;
+  std::vector<std::string> command;
+  pid_t pid = 0;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(FleetOptions options);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  Process& host(int i) { return processes_.at("host" + std::to_string(i)); }
+  Process& runner(int i) { return processes_.at("runner" + std::to_string(i)); }
+  Process& service(int i) {
+    return processes_.at("service" + std::to_string(i));
+  }
+
+  // Addresses, ip:port.
+  std::string Callers(int i) const { return Address(10 + i); }
+  std::string Operators(int i) const { return Address(30 + i); }
+  std::string Runner(int i) const { return Address(50 + i); }
+  std::string Service(int i) const { return Address(70 + i); }
+  std::string Platform() const { return Address(0); }
+
+  void Start(Process& process);
+  void Kill(Process& process);          // SIGKILL, waits for its end
+  int Terminate(Process& process);      // SIGTERM, waits; the exit code
+  void Pause(Process& process) const;   // SIGSTOP
+  void Resume(Process& process) const;  // SIGCONT
+
+  // Runs rosemaryhookctl; the output, its exit code appended as "exit N".
+  std::string Ctl(std::vector<std::string> arguments);
+  std::string IssueKey(const std::string& customer);
+  void Apply();  // the fleet's sheet
+  void WriteSheet(double rate, double burst);
+
+  // A completion through host `i`; a stream ends in a whole reply or status 0.
+  Reply Complete(int i,
+                 const std::string& key,
+                 const std::string& model,
+                 const std::string& prompt,
+                 int max_tokens,
+                 bool stream = false);
+  Reply Book(int i,
+             const std::string& key,
+             const std::string& id,
+             const std::string& idempotency_key);
+
+  // How often the service counted booking `id`.
+  int Bookings(const std::string& id);
+  Json Status(int i);        // of a daemon
+  Json RunnerReport(int i);  // a runner's counts
+  void Fault(const std::string& address, const Json& fault);
+  std::string Log(const std::string& name);  // of one process
+
+  // The host that acts as owner of a backend server, -1 if none does.
+  int OwnerOf(const std::string& backend);
+
+  // Waits until every backend server has an owner whose runner is known.
+  void AwaitOwners();
+
+ private:
+  std::string Address(int offset) const;
+  void StartAll();
+
+  FleetOptions options_;
+  std::string folder_;
+  std::map<std::string, Process> processes_;
+};
+
+// One HTTP exchange on a connection of its own.
+Reply Exchange(const std::string& address,
+               const std::string& method,
+               const std::string& target,
+               const std::map<std::string, std::string>& headers = {},
+               const std::string& body = "");
+
+// Sends raw bytes and returns what comes back until the other side closes.
+std::string SendRaw(const std::string& address, const std::string& bytes);
+
+// Whether `condition` came true within `limit_s` seconds.
+bool Await(int limit_s, const std::function<bool()>& condition);
+
+// Starts `job` on a thread of its own.
+template <typename Job>
+auto Async(Job job) {
+  return std::async(std::launch::async, std::move(job));
+}
+
+// The text that a fake runner's answer begins with.
+std::string ExpectedStart(const std::string& adapter,
+                          const std::string& prompt);
+
+}  // namespace rosemaryhook::testing
+
+#endif  // ROSEMARYHOOK_TESTING_FLEET_H_
--- /dev/null
+++ b/rosemaryhook/testing/suspects_test.cc
@@ -0,0 +1,55 @@
+#include "rosemaryhook/suspects.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rosemaryhook {
+namespace {
+
+using std::chrono::seconds;
+
+Time At(int second) {
+  return Time(seconds(1000 + second));
+}
+
+BOOST_AUTO_TEST_SUITE(suspects)
+
+BOOST_AUTO_TEST_CASE(a_second_crash_convicts_and_completion_clears) {
+  Suspects suspects;
+  NoteCrash("guilty", At(0), &suspects);
+  NoteCrash("innocent", At(0), &suspects);
+  BOOST_TEST(IsSuspect(suspects, "innocent", At(1)));
+  BOOST_TEST(!IsRefused(suspects, "guilty", At(1)));
+  NoteCompleted("innocent", At(1), &suspects);
+  NoteCrash("guilty", At(1), &suspects);
+  BOOST_TEST(!IsSuspect(suspects, "innocent", At(2)));
+  BOOST_TEST(IsRefused(suspects, "guilty", At(2)));
+  NoteCompleted("guilty", At(2), &suspects);  // a stray answer clears nothing
+  BOOST_TEST(IsRefused(suspects, "guilty", At(3)));
+  BOOST_TEST(!IsRefused(suspects, "guilty", At(1) + kSuspectSpan));
+}
+
+BOOST_AUTO_TEST_CASE(hosts_merge_the_worse_view) {
+  Suspects here;
+  Suspects there;
+  NoteCrash("x", At(0), &here);
+  NoteCrash("x", At(0), &there);
+  NoteCrash("x", At(1), &there);
+  MergeSuspects(SuspectsToJson(there, At(1)), At(1), &here);
+  BOOST_TEST(IsRefused(here, "x", At(2)));
+  MergeSuspects(Json::parse(R"({"y":3,"z":{"crashes":"many"}})"), At(1), &here);
+  MergeSuspects(Json(), At(1), &here);
+  BOOST_TEST(here.by_fingerprint.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(memory_is_bounded) {
+  Suspects suspects;
+  for (size_t i = 0; i < kMaxSuspects + 50; ++i) {
+    NoteCrash(std::to_string(i), At(0), &suspects);
+  }
+  BOOST_TEST(suspects.by_fingerprint.size() <= kMaxSuspects);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
