--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -40,3 +40,7 @@
   set_tests_properties(process.${name} PROPERTIES
     RUN_SERIAL ON TIMEOUT 300)
 endforeach()
+
+# The core protocol and each rule taken away, by the model checker.
+add_test(NAME model.contact COMMAND ${CMAKE_SOURCE_DIR}/model/check)
+set_tests_properties(model.contact PROPERTIES TIMEOUT 900)
