Release only what is idle, and check once more before sending

Cause, by a test that failed first (a_released_backend_runs_nothing_of_its_old_ owner: a stream through another host was cut with status 0): hosts took over what a draining host owned as if it were dead, and the draining host, owning nothing any more, left while it still served the stream. Change: what a draining session owns is given back by itself only; a daemon leaves after its last dispatch. Requests and orders are checked against the clock again once their connection stands. Backend servers on the platform's list of leaving hosts get no new work. Peers are told only of views that changed, and ask each other less often the more they are. Placement no longer copies views. Ruled out: waiting for owned claims alone, which the takeover had emptied.

--- a/rosemaryhook/blackboard.h
+++ b/rosemaryhook/blackboard.h
@@ -35,6 +35,7 @@
   FleetState fleet;
   Contact contact;
   std::map<std::string, Liveness> liveness;  // by session
+  std::set<std::string> leaving;  // addresses of hosts that the platform stops
   Directory directory;
   Rates rates;
   Suspects suspects;
--- a/rosemaryhook/claims.cc
+++ b/rosemaryhook/claims.cc
@@ -21,11 +21,12 @@
 
 std::string PreferredOwner(const FleetState& fleet,
                            const std::string& resource,
-                           const std::set<std::string>& unavailable) {
+                           const Unavailable& unavailable) {
   std::string best;
   uint64_t best_weight = 0;
   for (const auto& [id, session] : fleet.sessions) {
-    if (unavailable.contains(id)) {
+    if (unavailable.suspected.contains(id) ||
+        unavailable.draining.contains(id)) {
       continue;
     }
     const uint64_t weight = RendezvousWeight(resource, session.host);
@@ -39,7 +40,7 @@
 
 ClaimPlan PlanClaims(const FleetState& fleet,
                      const std::string& self,
-                     const std::set<std::string>& unavailable) {
+                     const Unavailable& unavailable) {
   ClaimPlan plan;
   for (const std::string& resource : AllResources(fleet)) {
     const auto found = fleet.claims.find(resource);
@@ -47,7 +48,7 @@
         found == fleet.claims.end() ? "" : found->second.owner;
     const std::string preferred = PreferredOwner(fleet, resource, unavailable);
     const bool is_vacant = owner.empty() || !fleet.sessions.contains(owner) ||
-                           unavailable.contains(owner);
+                           unavailable.suspected.contains(owner);
     if (owner == self && preferred != self && !preferred.empty()) {
       plan.releases.push_back(resource);
     } else if (is_vacant && preferred == self && owner != self) {
--- a/rosemaryhook/claims.h
+++ b/rosemaryhook/claims.h
@@ -1,6 +1,6 @@
 // Which resources this host should claim or give back.
 //
-//   ClaimPlan plan = PlanClaims(fleet, self, suspected);
+//   ClaimPlan plan = PlanClaims(fleet, self, {suspected, draining});
 //   Commit(plan.claims as changes); drain and release plan.releases
 //
 // Resources are the backend servers and the slots of rate shares. Each has one
@@ -22,15 +22,21 @@
   std::vector<std::string> releases;  // owned, but another is preferred
 };
 
-// `unavailable` are sessions that are suspected or leaving.
+// Sessions that get nothing new. What a suspected one owns is taken over; a
+// draining one gives it back itself, once nothing of its own runs there.
+struct Unavailable {
+  std::set<std::string> suspected;
+  std::set<std::string> draining;
+};
+
 ClaimPlan PlanClaims(const FleetState& fleet,
                      const std::string& self,
-                     const std::set<std::string>& unavailable);
+                     const Unavailable& unavailable);
 
 // The session that should own `resource`, empty if there is none to choose.
 std::string PreferredOwner(const FleetState& fleet,
                            const std::string& resource,
-                           const std::set<std::string>& unavailable);
+                           const Unavailable& unavailable);
 
 // Every resource that `fleet` has.
 std::vector<std::string> AllResources(const FleetState& fleet);
--- a/rosemaryhook/dispatcher.cc
+++ b/rosemaryhook/dispatcher.cc
@@ -8,6 +8,7 @@
 #include "rosemaryhook/admission.h"
 #include "rosemaryhook/host.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/membership.h"
 
 namespace rosemaryhook {
 namespace {
@@ -48,21 +49,32 @@
       !IsActingOwner(host.board.contact, claim->second)) {
     return "not-owner";
   }
+  if (IsListed(host.board.leaving, owned.state.config.address)) {
+    return "backend-leaving";
+  }
   return IsOpen(host.board.fleet, owned.state.config) ? "" : "zone-out";
 }
 
-HttpCall OrderCall(const OwnedBackend& owned,
+// Orders and requests are checked against the clock once more when their
+// connection stands: connecting takes time, in which contact can run out.
+std::function<bool()> StillOpen(const HostPtr& host, const OwnedPtr& owned) {
+  return [host, owned] { return WhyClosed(*host, *owned).empty(); };
+}
+
+HttpCall OrderCall(const HostPtr& host,
+                   const OwnedPtr& owned,
                    const char* target,
                    const std::string& adapter,
                    Duration limit) {
   HttpCall call;
-  call.address = owned.state.config.address;
+  call.address = owned->state.config.address;
   call.target = target;
   call.headers = {{"content-type", "application/json"}};
   call.body =
-      Json({{"lora_name", adapter}, {"fence", owned.state.fence}}).dump();
+      Json({{"lora_name", adapter}, {"fence", owned->state.fence}}).dump();
   call.deadline = Now() + limit;
   call.fresh_connection = true;
+  call.may_send = StillOpen(host, owned);
   return call;
 }
 
@@ -92,7 +104,7 @@
     if (why.empty()) {
       auto fetched = co_await Fetch(
           &host->pool,
-          OrderCall(*owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
+          OrderCall(host, owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
       loaded = IsOk(fetched);
       why = loaded ? "ordered" : WhyFailed(fetched);
     }
@@ -119,8 +131,8 @@
   bool evicted = false;
   if (closed.empty()) {
     auto fetched = co_await Fetch(
-        &host->pool,
-        OrderCall(*owned, "/v1/unload_lora_adapter", adapter, kEvictLimit));
+        &host->pool, OrderCall(host, owned, "/v1/unload_lora_adapter", adapter,
+                               kEvictLimit));
     evicted = IsOk(fetched);
     closed = evicted ? why : WhyFailed(fetched);
   }
@@ -351,18 +363,19 @@
   return answer;
 }
 
-HttpCall MakeCall(const Host& host,
-                  const OwnedBackend& owned,
+HttpCall MakeCall(const HostPtr& host,
+                  const OwnedPtr& owned,
                   const DispatchRequest& request) {
   HttpCall call;
-  call.address = owned.state.config.address;
+  call.address = owned->state.config.address;
   call.method = request.method;
   call.target = request.target;
   call.headers = request.headers;
   call.body = request.body;
   call.deadline = request.deadline;
-  call.progress_limit = host.board.settings.silence_limit;
+  call.progress_limit = host->board.settings.silence_limit;
   call.fresh_connection = !request.repeatable;
+  call.may_send = StillOpen(host, owned);
   return call;
 }
 
@@ -504,7 +517,7 @@
                                        const AnswerSink& sink) {
   HttpExchange exchange(&host->pool);
   AnswerRelay relay(request, sink);
-  auto started = co_await exchange.Start(MakeCall(*host, *owned, request));
+  auto started = co_await exchange.Start(MakeCall(host, owned, request));
   if (const Error* error = Failure(started)) {
     if (!exchange.may_have_reached()) {
       co_return NotRun(owned.get(), error->step, "backend_unreachable",
@@ -605,7 +618,9 @@
   host->board.metrics.Observe(
       "queue_seconds",
       std::chrono::duration<double>(Now() - queued.arrived).count());
+  ++host->dispatching;
   DispatchResult result = co_await RunTurn(host, owned, request, sink);
+  --host->dispatching;
   turn.End(OutcomeOf(result));
   const auto* failure = std::get_if<DispatchFailure>(&result);
   Log("dispatched",
--- a/rosemaryhook/dispatcher.h
+++ b/rosemaryhook/dispatcher.h
@@ -15,6 +15,7 @@
 #include "rosemaryhook/answer_sink.h"
 #include "rosemaryhook/backend_state.h"
 #include "rosemaryhook/dispatch.h"
+#include "rosemaryhook/placement.h"
 #include "rosemaryhook/signal.h"
 
 namespace rosemaryhook {
@@ -42,6 +43,8 @@
   bool reachable = true;
   bool lost = false;  // this host owns it no more
   int failed_reports = 0;
+  BackendView view;         // as last told to peers
+  int64_t view_number = 0;  // grows over the host with each change of a view
 };
 
 // Runs `request` on a backend server that this host owns. The answer goes to
--- a/rosemaryhook/fleet_sync.cc
+++ b/rosemaryhook/fleet_sync.cc
@@ -15,13 +15,18 @@
 constexpr Duration kTableInterval = std::chrono::seconds(1);
 constexpr Duration kTableLimit = std::chrono::seconds(2);
 constexpr Duration kTableGap = std::chrono::seconds(5);
-constexpr Duration kContactInterval = std::chrono::milliseconds(500);
+// Each member asks each other one once in a contact interval, which grows with
+// the members so that a host's share of these messages stays bounded. The
+// longest still gives two tries within kContactSpan.
+constexpr Duration kContactPerMember = std::chrono::milliseconds(60);
+constexpr Duration kShortestContact = std::chrono::milliseconds(500);
+constexpr Duration kLongestContact = std::chrono::milliseconds(1500);
 constexpr Duration kContactLimit = std::chrono::seconds(2);
 constexpr Duration kClaimInterval = std::chrono::milliseconds(500);
 constexpr Duration kForceInterval = std::chrono::milliseconds(100);
 constexpr Duration kForceStagger = std::chrono::milliseconds(400);
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
-constexpr Duration kHostListInterval = std::chrono::seconds(5);
+constexpr Duration kHostListInterval = std::chrono::seconds(2);
 constexpr Revision kSnapshotEvery = 64;
 constexpr size_t kRecentChanges = 512;
 
@@ -215,13 +220,14 @@
   }
 }
 
-BackendView ViewOf(const OwnedBackend& owned) {
+BackendView ViewOf(const Host& host, const OwnedBackend& owned) {
   BackendView view;
   view.window = std::min(owned.state.window, owned.state.config.slots);
   view.running = RunningCount(owned.state);
   view.queued = static_cast<int>(owned.state.queue.size());
   view.usable = owned.reachable && !owned.state.draining &&
-                Now() >= owned.state.quiet_until;
+                Now() >= owned.state.quiet_until &&
+                !IsListed(host.board.leaving, owned.state.config.address);
   for (const auto& [adapter, resident] : owned.state.adapters) {
     if (resident.phase != AdapterPhase::kUnloading && !resident.closing) {
       view.resident.insert(adapter);
@@ -230,19 +236,41 @@
   return view;
 }
 
-Json ViewsToJson(const Host& host) {
+// Numbers the views that changed, so that a peer is told only of those that it
+// has not seen.
+void RenewViews(Host* host) {
+  for (const auto& [name, owned] : host->owned) {
+    BackendView view = ViewOf(*host, *owned);
+    if (owned->view_number == 0 || !(view == owned->view)) {
+      owned->view = std::move(view);
+      owned->view_number = ++host->newest_view;
+    }
+  }
+}
+
+Json ViewsToJson(const Host& host, int64_t seen) {
   Json views = Json::object();
   for (const auto& [name, owned] : host.owned) {
-    const BackendView view = ViewOf(*owned);
-    views[name] = {{"window", view.window},
-                   {"running", view.running},
-                   {"queued", view.queued},
-                   {"usable", view.usable},
-                   {"resident", view.resident}};
+    if (owned->view_number > seen) {
+      const BackendView& view = owned->view;
+      views[name] = {{"window", view.window},
+                     {"running", view.running},
+                     {"queued", view.queued},
+                     {"usable", view.usable},
+                     {"resident", view.resident}};
+    }
   }
   return views;
 }
 
+// This host's own views need no message.
+void TakeOwnViews(Host* host) {
+  RenewViews(host);
+  for (const auto& [name, owned] : host->owned) {
+    host->board.directory.backends[name] = owned->view;
+  }
+}
+
 void TakeViews(const Json& views, Directory* directory) {
   for (const auto& [name, json] : views.items()) {
     BackendView view;
@@ -255,6 +283,19 @@
   }
 }
 
+// What this host sent to the backend servers of `session` is in their views by
+// now, whether those changed or not.
+void ForgetSent(const FleetState& fleet,
+                const std::string& session,
+                Directory* directory) {
+  for (auto& [name, view] : directory->backends) {
+    const auto claim = fleet.claims.find(BackendResource(name));
+    if (claim != fleet.claims.end() && claim->second.owner == session) {
+      view.sent_since = 0;
+    }
+  }
+}
+
 void TakeContactAnswer(const HostPtr& host,
                        const std::string& session,
                        const Json& answer,
@@ -269,8 +310,10 @@
                  answer.value("in_force", Revision{0}), &board.contact);
   board.liveness[session].answered = Now();
   peer->second->is_draining = answer.value("draining", false);
+  ForgetSent(board.fleet, session, &board.directory);
   try {
     TakeViews(answer.at("views"), &board.directory);
+    peer->second->views = answer.at("newest_view").get<int64_t>();
   } catch (const Json::exception& e) {
     Log("bad_views", {{"peer", session}, {"why", e.what()}});
   }
@@ -301,16 +344,21 @@
   peer->is_asking = false;
 }
 
+Duration ContactInterval(size_t members) {
+  return std::clamp<Duration>(kContactPerMember * members, kShortestContact,
+                              kLongestContact);
+}
+
 awaitable<void> ContactLoop(HostPtr host) {
   while (!host->stopping) {
-    TakeViews(ViewsToJson(*host), &host->board.directory);
+    TakeOwnViews(host.get());
     for (const auto& [session, peer] : host->peers) {
       if (!peer->is_asking && !IsCut(*host, session)) {
         asio::co_spawn(host->io, AskContact(host, session, peer),
                        asio::detached);
       }
     }
-    co_await Sleep(kContactInterval);
+    co_await Sleep(ContactInterval(host->board.fleet.sessions.size()));
   }
 }
 
@@ -367,16 +415,15 @@
   }
 }
 
-// Sessions that cannot take on anything new.
-std::set<std::string> Unavailable(const Host& host) {
-  std::set<std::string> unavailable = SuspectedSessions(host.board, Now());
+Unavailable UnavailableSessions(const Host& host) {
+  Unavailable unavailable{SuspectedSessions(host.board, Now()), {}};
   for (const auto& [session, peer] : host.peers) {
     if (peer->is_draining) {
-      unavailable.insert(session);
+      unavailable.draining.insert(session);
     }
   }
   if (host.board.draining) {
-    unavailable.insert(host.board.session);
+    unavailable.draining.insert(host.board.session);
   }
   return unavailable;
 }
@@ -448,7 +495,7 @@
     if (CanCommit(*host)) {
       const Blackboard& board = host->board;
       const ClaimPlan plan =
-          PlanClaims(board.fleet, board.session, Unavailable(*host));
+          PlanClaims(board.fleet, board.session, UnavailableSessions(*host));
       std::vector<Op> ops = ClaimOps(*host, plan);
       if (!ops.empty()) {
         LogClaims(ops, board.fleet.revision);
@@ -459,19 +506,22 @@
   }
 }
 
-std::string IpOf(const std::string& address) {
-  return address.substr(0, address.rfind(':'));
-}
-
-void TakeHostList(const HostPtr& host, const std::set<std::string>& listed) {
-  for (const auto& [id, session] : host->board.fleet.sessions) {
-    const bool is_listed = listed.contains(session.address) ||
-                           listed.contains(IpOf(session.address));
-    const auto liveness = host->board.liveness.find(id);
-    if (is_listed && liveness != host->board.liveness.end()) {
+void TakeHostList(const HostPtr& host, const HostList& list) {
+  Blackboard& board = host->board;
+  for (const auto& [id, session] : board.fleet.sessions) {
+    const auto liveness = board.liveness.find(id);
+    if (IsListed(list.live, session.address) &&
+        liveness != board.liveness.end()) {
       liveness->second.listed = Now();
     }
   }
+  if (board.leaving != list.leaving) {
+    board.leaving = list.leaving;
+    Log("leaving", {{"hosts", list.leaving.size()}});
+    for (const auto& [name, owned] : host->owned) {
+      owned->pump.Notify();
+    }
+  }
 }
 
 std::vector<Op> GoneOps(const Host& host) {
@@ -487,8 +537,8 @@
 awaitable<void> GoneLoop(HostPtr host) {
   while (!host->stopping) {
     const auto listed = co_await ListHosts(host->table, Now() + kTableLimit);
-    if (const auto* hosts = std::get_if<std::set<std::string>>(&listed)) {
-      TakeHostList(host, *hosts);
+    if (const auto* list = std::get_if<HostList>(&listed)) {
+      TakeHostList(host, *list);
     } else {
       host->table_good_since = Now();
     }
@@ -607,8 +657,10 @@
         board.fleet.claims.begin(), board.fleet.claims.end(),
         [&](const auto& entry) { return entry.second.owner == board.session; });
   };
-  // With another host in contact the claim loop gives everything back.
-  while (Now() < deadline && owns_something() && !host->peers.empty()) {
+  // With another host in contact the claim loop gives everything back. Requests
+  // that this host has sent end first, wherever they came from.
+  while (Now() < deadline && (host->dispatching > 0 ||
+                              (owns_something() && !host->peers.empty()))) {
     co_await Sleep(kForceInterval);
   }
   while (Now() < deadline && board.fleet.sessions.contains(board.session)) {
@@ -627,11 +679,13 @@
   const Revision known = question.value("known", Revision{0});
   board.contact.heard = std::max(board.contact.heard, known);
   WakeIfBehind(host);
+  RenewViews(host);
   return {{"session", board.session},
           {"known", board.contact.heard},
           {"in_force", board.contact.in_force},
           {"draining", board.draining},
-          {"views", ViewsToJson(*host)},
+          {"views", ViewsToJson(*host, question.value("views", int64_t{0}))},
+          {"newest_view", host->newest_view},
           {"suspects", SuspectsToJson(board.suspects, Now())}};
 }
 
--- a/rosemaryhook/host.h
+++ b/rosemaryhook/host.h
@@ -28,6 +28,7 @@
   PeerLink link;
   bool is_asking = false;
   bool is_draining = false;
+  int64_t views = 0;  // newest of its views that this host has
 };
 
 struct Host {
@@ -41,6 +42,8 @@
   std::map<std::string, std::shared_ptr<Peer>> peers;          // by session
   std::map<std::string, std::shared_ptr<OwnedBackend>> owned;  // by name
   std::deque<Change> recent;  // newest changes, for peers that lag
+  int dispatching = 0;        // requests that run on backend servers now
+  int64_t newest_view = 0;    // number of the newest change of a view
   Revision table_in_force = 0;
   Revision snapshot = 0;
   Time table_good_since;  // reads have been answered without a gap since
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -119,6 +119,9 @@
   Time deadline;              // for the whole exchange
   Duration progress_limit{};  // longest silence, 0 for none but the deadline
   bool fresh_connection = false;  // for calls that may not be repeated
+  // Asked once the connection stands, just before the first byte is sent;
+  // false ends the exchange with nothing sent. Empty means yes.
+  std::function<bool()> may_send;
 };
 
 struct HttpHead {
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -106,6 +106,9 @@
   request.body() = std::move(call_.body);
   request.prepare_payload();
   Expire();
+  if (call_.may_send && !call_.may_send()) {
+    co_return Error{Step::kSend, call_.address, "not allowed to send any more"};
+  }
   may_have_reached_ = true;
   auto [write_ec, written] =
       co_await http::async_write(*stream_, request, kToTuple);
--- a/rosemaryhook/membership.cc
+++ b/rosemaryhook/membership.cc
@@ -28,6 +28,11 @@
          now - std::max(liveness.listed, table_good_since) >= kGoneSpan;
 }
 
+bool IsListed(const std::set<std::string>& list, const std::string& address) {
+  return list.contains(address) ||
+         list.contains(address.substr(0, address.rfind(':')));
+}
+
 std::set<std::string> SuspectedSessions(const Blackboard& board, Time now) {
   std::set<std::string> suspected;
   for (const auto& [id, session] : board.fleet.sessions) {
--- a/rosemaryhook/membership.h
+++ b/rosemaryhook/membership.h
@@ -35,6 +35,9 @@
 // gap: a counter that nobody could see moving has not stalled.
 bool IsGone(const Liveness& liveness, Time table_good_since, Time now);
 
+// Whether a platform's list holds `address` (ip:port) or its ip.
+bool IsListed(const std::set<std::string>& list, const std::string& address);
+
 // The sessions other than `self` that are suspected.
 std::set<std::string> SuspectedSessions(const Blackboard& board, Time now);
 
--- a/rosemaryhook/operator_service.cc
+++ b/rosemaryhook/operator_service.cc
@@ -62,6 +62,8 @@
   gauge("in_force_revision", board.contact.in_force);
   gauge("members", static_cast<int64_t>(board.fleet.sessions.size()));
   gauge("rate_slots", static_cast<int64_t>(board.rates.slots.size()));
+  gauge("peer_bytes_sent", TotalPeerTraffic().sent);
+  gauge("peer_bytes_received", TotalPeerTraffic().received);
   gauge("owned_backends", static_cast<int64_t>(host.owned.size()));
   gauge("suspects", static_cast<int64_t>(board.suspects.by_fingerprint.size()));
   return text;
--- a/rosemaryhook/peer_link.cc
+++ b/rosemaryhook/peer_link.cc
@@ -18,6 +18,8 @@
 constexpr size_t kLengthBytes = 4;
 constexpr uint32_t kMaxStreams = 20000;
 constexpr int32_t kConnectionWindow = 32 << 20;
+PeerTraffic total_traffic;
+
 constexpr Duration kPeerConnectLimit = std::chrono::seconds(1);
 
 std::string EncodeMessage(const json& message) {
@@ -182,6 +184,10 @@
   }
 };
 
+const PeerTraffic& TotalPeerTraffic() {
+  return total_traffic;
+}
+
 PeerStream::PeerStream(std::shared_ptr<PeerConnection> connection)
     : connection_(std::move(connection)),
       readable_(connection_->executor()),
@@ -349,6 +355,7 @@
       break;
     }
     last_received_ = Now();
+    total_traffic.received += static_cast<int64_t>(n);
     if (nghttp2_session_mem_recv(session_, buffer.data(), n) < 0) {
       break;
     }
@@ -376,6 +383,7 @@
     }
     auto [ec, n] =
         co_await asio::async_write(socket_, asio::buffer(batch), kToTuple);
+    total_traffic.sent += static_cast<int64_t>(n);
     if (ec) {
       Close();
     }
--- a/rosemaryhook/peer_link.h
+++ b/rosemaryhook/peer_link.h
@@ -79,6 +79,13 @@
   Signal writable_;
 };
 
+// Bytes on all of this process's peer connections, HTTP/2 framing included.
+struct PeerTraffic {
+  int64_t sent = 0;
+  int64_t received = 0;
+};
+const PeerTraffic& TotalPeerTraffic();
+
 using PeerHandler =
     std::function<boost::asio::awaitable<void>(std::shared_ptr<PeerStream>)>;
 
--- a/rosemaryhook/placement.cc
+++ b/rosemaryhook/placement.cc
@@ -13,10 +13,12 @@
 namespace rosemaryhook {
 namespace {
 
+// Points into the configuration and the directory: a request looks at every
+// backend server of its group, and copies none.
 struct Candidate {
-  std::string name;
-  std::string owner;
-  BackendView view;
+  const std::string* name;
+  const std::string* owner;
+  const BackendView* view;
   uint64_t weight = 0;
 };
 
@@ -25,17 +27,26 @@
 }
 
 bool HasRoomFor(const Candidate& candidate) {
-  return LoadOf(candidate.view) < candidate.view.window;
+  return LoadOf(*candidate.view) < candidate.view->window;
 }
 
-// The owner's session, empty if nobody of the fleet owns the backend server.
-std::string OwnerOf(const FleetState& fleet, const std::string& backend) {
+// The owner's session, nullptr if nobody of the fleet owns the backend server.
+const std::string* OwnerOf(const FleetState& fleet,
+                           const std::string& backend) {
   const auto claim = fleet.claims.find(BackendResource(backend));
   if (claim == fleet.claims.end() ||
       !fleet.sessions.contains(claim->second.owner)) {
-    return {};
+    return nullptr;
   }
-  return claim->second.owner;
+  return &claim->second.owner;
+}
+
+// What the owner said, or that of a backend server nothing is known of.
+const BackendView& ViewOf(const Directory& directory,
+                          const std::string& backend) {
+  static const BackendView kUnknown;
+  const auto view = directory.backends.find(backend);
+  return view == directory.backends.end() ? kUnknown : view->second;
 }
 
 // Candidates by preference.
@@ -50,16 +61,11 @@
         !IsOpen(fleet, backend) || wanted.excluded.contains(name)) {
       continue;
     }
-    Candidate candidate{name, OwnerOf(fleet, name), {}, 0};
-    const auto view = directory.backends.find(name);
-    if (view != directory.backends.end()) {
-      candidate.view = view->second;
-    }
-    if (candidate.owner.empty() || !candidate.view.usable) {
-      continue;
+    const std::string* owner = OwnerOf(fleet, name);
+    const BackendView& view = ViewOf(directory, name);
+    if (owner != nullptr && view.usable) {
+      candidates.push_back({&name, owner, &view, RendezvousWeight(key, name)});
     }
-    candidate.weight = RendezvousWeight(key, name);
-    candidates.push_back(std::move(candidate));
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) {
@@ -68,14 +74,18 @@
   return candidates;
 }
 
+Choice Choose(const Candidate& candidate, const char* why) {
+  return {*candidate.name, *candidate.owner, why};
+}
+
 bool IsResident(const Candidate& candidate, const std::string& adapter) {
-  return adapter.empty() || candidate.view.resident.contains(adapter);
+  return adapter.empty() || candidate.view->resident.contains(adapter);
 }
 
 // Load for each unit of window; the emptiest is chosen when all are full.
 double Fullness(const Candidate& candidate) {
-  return static_cast<double>(LoadOf(candidate.view)) /
-         std::max(1, candidate.view.window);
+  return static_cast<double>(LoadOf(*candidate.view)) /
+         std::max(1, candidate.view->window);
 }
 
 }  // namespace
@@ -102,12 +112,12 @@
   }
   for (const Candidate& candidate : candidates) {
     if (IsResident(candidate, wanted.adapter) && HasRoomFor(candidate)) {
-      return Choice{candidate.name, candidate.owner, "resident"};
+      return Choose(candidate, "resident");
     }
   }
   for (const Candidate& candidate : candidates) {
     if (HasRoomFor(candidate)) {
-      return Choice{candidate.name, candidate.owner, "preferred-with-room"};
+      return Choose(candidate, "preferred-with-room");
     }
   }
   const auto emptiest =
@@ -115,7 +125,7 @@
                        [](const Candidate& a, const Candidate& b) {
                          return Fullness(a) < Fullness(b);
                        });
-  return Choice{emptiest->name, emptiest->owner, "least-loaded"};
+  return Choose(*emptiest, "least-loaded");
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/placement.h
+++ b/rosemaryhook/placement.h
@@ -28,6 +28,7 @@
   bool usable = true;  // false while draining or unreachable
   std::set<std::string> resident;
   int sent_since = 0;  // requests sent there by this host since the report
+  bool operator==(const BackendView&) const = default;
 };
 
 struct Directory {
--- a/rosemaryhook/table.cc
+++ b/rosemaryhook/table.cc
@@ -38,6 +38,11 @@
           {"deletes", transaction.deletes}};
 }
 
+// Tells the platform who asks.
+Headers HostHeader(const Table& table) {
+  return {{"content-type", "application/json"}, {"x-host", table.host}};
+}
+
 awaitable<Result<Json>> Post(Table table,
                              std::string target,
                              Json body,
@@ -200,11 +205,12 @@
   co_return std::optional<std::string>(std::move(answer.body));
 }
 
-awaitable<Result<std::set<std::string>>> ListHosts(Table table, Time deadline) {
+awaitable<Result<HostList>> ListHosts(Table table, Time deadline) {
   HttpCall call;
   call.address = table.address;
   call.method = "GET";
   call.target = "/hosts";
+  call.headers = HostHeader(table);
   call.deadline = deadline;
   auto fetched = co_await Fetch(table.pool, std::move(call));
   if (const Error* error = Failure(fetched)) {
@@ -212,10 +218,14 @@
   }
   const Json json =
       Json::parse(std::get<HttpAnswer>(fetched).body, nullptr, false);
-  if (!json.is_object() || !json.contains("hosts")) {
-    co_return Error{Step::kTable, table.address, "a list without hosts"};
+  HostList list;
+  try {
+    json.at("live").get_to(list.live);
+    json.at("leaving").get_to(list.leaving);
+  } catch (const Json::exception& e) {
+    co_return Error{Step::kTable, table.address, e.what()};
   }
-  co_return json.at("hosts").get<std::set<std::string>>();
+  co_return list;
 }
 
 awaitable<CommitOutcome> Commit(Table table,
--- a/rosemaryhook/table.h
+++ b/rosemaryhook/table.h
@@ -9,7 +9,8 @@
 // takes {"conditions": [{"key", "equals"}], "puts": [{"key", "value"}],
 // "deletes": [key]} and answers 200, or 409 {"failed": key} if a condition does
 // not hold; `equals` null means that the row must not exist. Objects are PUT
-// and GET at /objects/NAME. GET /hosts lists the platform's hosts.
+// and GET at /objects/NAME. GET /hosts answers {"live": [address], "leaving":
+// [address]}.
 #ifndef ROSEMARYHOOK_TABLE_H_
 #define ROSEMARYHOOK_TABLE_H_
 
@@ -77,8 +78,12 @@
                                                         std::string name,
                                                         Time deadline);
 
-// Addresses on the platform's list of live and leaving hosts, which lags.
-awaitable<Result<std::set<std::string>>> ListHosts(Table table, Time deadline);
+// The platform's list of hosts, which lags: addresses as ip or ip:port.
+struct HostList {
+  std::set<std::string> live;
+  std::set<std::string> leaving;
+};
+awaitable<Result<HostList>> ListHosts(Table table, Time deadline);
 
 // The revision in row `key`, 0 if there is no such row.
 Revision RevisionIn(const Rows& rows, const std::string& key);
--- /dev/null
+++ b/rosemaryhook/testing/bare_forwarder.cc
@@ -0,0 +1,60 @@
+// Baseline for latency: passes every request on and does nothing else.
+//
+//   bare_forwarder --listen 127.0.0.1:9201 --to 127.0.0.1:9001
+//
+// Two of these in a row make the same hops as an entry host and an owner.
+#include <CLI/CLI.hpp>
+
+#include "rosemaryhook/testing/fake_server.h"
+
+namespace rosemaryhook::testing {
+namespace {
+
+awaitable<void> Forward(HttpPool* pool,
+                        std::string to,
+                        const HttpRequest& request,
+                        HttpReply& reply) {
+  HttpCall call;
+  call.address = std::move(to);
+  call.method = request.method;
+  call.target = request.target;
+  call.body = request.body;
+  call.deadline = Now() + std::chrono::seconds(30);
+  HttpExchange exchange(pool);
+  const auto started = co_await exchange.Start(std::move(call));
+  if (Failure(started) != nullptr) {
+    reply.Abort();
+    co_return;
+  }
+  co_await reply.Begin(std::get<HttpHead>(started).status, Headers());
+  while (true) {
+    auto chunk = co_await exchange.ReadChunk();
+    if (Failure(chunk) != nullptr) {
+      reply.Abort();
+      co_return;
+    }
+    std::string& data = std::get<std::string>(chunk);
+    if (data.empty()) {
+      break;
+    }
+    co_await reply.Chunk(std::move(data));
+  }
+  co_await reply.End();
+}
+
+}  // namespace
+}  // namespace rosemaryhook::testing
+
+int main(int argc, char** argv) {
+  CLI::App app("Baseline forwarder");
+  std::string listen;
+  std::string to;
+  app.add_option("--listen", listen, "IP:PORT")->required();
+  app.add_option("--to", to, "IP:PORT")->required();
+  CLI11_PARSE(app, argc, argv);
+  rosemaryhook::HttpPool pool;
+  return rosemaryhook::testing::RunFake(
+      listen, [&](const auto& request, auto& reply) {
+        return rosemaryhook::testing::Forward(&pool, to, request, reply);
+      });
+}
--- a/rosemaryhook/testing/claims_test.cc
+++ b/rosemaryhook/testing/claims_test.cc
@@ -18,9 +18,9 @@
 }
 
 // Every session claims what it plans to, as the table would apply it.
-void ClaimAll(FleetState* fleet, const std::set<std::string>& unavailable) {
+void ClaimAll(FleetState* fleet, const Unavailable& unavailable) {
   for (const auto& [session, value] : fleet->sessions) {
-    if (unavailable.contains(session)) {
+    if (unavailable.suspected.contains(session)) {
       continue;
     }
     const ClaimPlan plan = PlanClaims(*fleet, session, unavailable);
@@ -51,7 +51,7 @@
   FleetState fleet = FleetOf(3, 12);
   ClaimAll(&fleet, {});
   const FleetState before = fleet;
-  ClaimAll(&fleet, {"h1-1"});
+  ClaimAll(&fleet, {{"h1-1"}, {}});
   for (const auto& [resource, claim] : fleet.claims) {
     const Claim& old = before.claims.at(resource);
     if (old.owner == "h1-1") {
@@ -64,6 +64,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_draining_owner_gives_back_and_is_not_taken_from) {
+  FleetState fleet = FleetOf(3, 12);
+  ClaimAll(&fleet, {});
+  const Unavailable draining{{}, {"h1-1"}};
+  for (const auto& [session, value] : fleet.sessions) {
+    const ClaimPlan plan = PlanClaims(fleet, session, draining);
+    BOOST_TEST(plan.claims.empty());
+    BOOST_TEST(plan.releases.empty() == (session != "h1-1"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_newcomer_gets_its_share_by_release) {
   FleetState fleet = FleetOf(2, 30);
   ClaimAll(&fleet, {});
--- a/rosemaryhook/testing/contact_test.cc
+++ b/rosemaryhook/testing/contact_test.cc
@@ -121,6 +121,15 @@
   BOOST_TEST(contact.in_force == 5);
 }
 
+BOOST_AUTO_TEST_CASE(hours_without_the_table) {
+  Contact contact = ContactOf("a", 5, {"a", "b", "c"});
+  for (int second = 0; second < 6 * 3600; ++second) {
+    const Time now = At(seconds(second));
+    NotePeerAnswer(second % 2 == 0 ? "b" : "c", now, 5, 5, &contact);
+    BOOST_REQUIRE(MayAct(contact, 5, now + milliseconds(900)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(takeover_waits_until_in_force) {
   Contact contact = ContactOf("a", 5, {"a", "b"});
   BOOST_TEST(IsActingOwner(contact, Claim{"a", 4, 5, false}));
--- a/rosemaryhook/testing/failure_process_test.cc
+++ b/rosemaryhook/testing/failure_process_test.cc
@@ -170,8 +170,15 @@
                fleet.RunnerReport(1)["running"].get<int>() >
            0;
   }));
-  const std::string withdrawn = fleet.Ctl({"key", "withdraw", "--key", key});
-  BOOST_TEST(withdrawn.find("in force") != std::string::npos, withdrawn);
+  // A connection that stays open is no way around it.
+  const auto [before, after] = ExchangeKept(
+      fleet.Callers(2), "/v1/completions", {{"Authorization", "Bearer " + key}},
+      R"({"model":"help@2","prompt":"q","max_tokens":1})", [&] {
+        const std::string text = fleet.Ctl({"key", "withdraw", "--key", key});
+        BOOST_TEST(text.find("in force") != std::string::npos, text);
+      });
+  BOOST_TEST(before.status == 200);
+  BOOST_TEST(after.status == 401);
   for (int i = 0; i < 3; ++i) {
     BOOST_TEST(fleet.Complete(i, key, "help@2", "q", 2).status == 401);
   }
@@ -205,6 +212,53 @@
   BOOST_TEST(completed() > before);
 }
 
+BOOST_AUTO_TEST_CASE(a_leaving_backend_gets_no_new_work) {
+  Fleet fleet({.port = 22900, .hosts = 3, .runners = 2, .services = 0});
+  const std::string key = fleet.IssueKey("marsu");
+  auto stream =
+      Async([&] { return fleet.Complete(0, key, "help@1", "s", 3000, true); });
+  const auto running = [&](int i) {
+    return fleet.RunnerReport(i)["running"].get<int>();
+  };
+  BOOST_TEST(Await(20, [&] { return running(0) + running(1) == 1; }));
+  const int leaving = running(0) == 1 ? 0 : 1;
+  const std::string address = fleet.Runner(leaving);
+  Exchange(fleet.Platform(), "PUT", "/hosts", {},
+           Json({{"live", Json::array()}, {"leaving", {address}}}).dump());
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Await(20, [&] {
+      return fleet.Log("host" + std::to_string(i)).find("event=leaving") !=
+             std::string::npos;
+    }));
+  }
+  const int before = fleet.RunnerReport(leaving)["completed"].get<int>();
+  for (int version = 1; version <= 9; ++version) {
+    const std::string model = "help@" + std::to_string(version);
+    BOOST_TEST(fleet.Complete(version % 3, key, model, "q", 2).status == 200);
+  }
+  BOOST_TEST(stream.get().status == 200);  // what runs there ends whole
+  BOOST_TEST(fleet.RunnerReport(leaving)["completed"] == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_dies_while_a_zone_is_out_and_the_table_is_slow) {
+  Fleet fleet({.port = 23800,
+               .hosts = 3,
+               .runners = 3,
+               .services = 0,
+               .settings = kQuickHeartbeat});
+  const std::string key = fleet.IssueKey("marsu");
+  fleet.Ctl({"zone", "out", "zone-0"});
+  const int dead = fleet.OwnerOf("r1");
+  BOOST_REQUIRE(dead >= 0);
+  fleet.Fault(fleet.Platform(), {{"slow_ms", 300}});
+  fleet.Kill(fleet.host(dead));
+  for (int n = 0; n < 6; ++n) {
+    BOOST_TEST(Answers(fleet, (dead + 1 + n % 2) % 3, key));
+  }
+  BOOST_TEST(Await(60, [&] { return fleet.OwnerOf("r1") >= 0; }));
+  BOOST_TEST(fleet.RunnerReport(0)["completed"] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_graceful_shutdown_cuts_nothing) {
   Fleet fleet({.port = 22700, .hosts = 3, .runners = 2, .services = 0});
   const std::string key = fleet.IssueKey("marsu");
@@ -234,6 +288,29 @@
   BOOST_TEST(Answers(fleet, (owner + 1) % 3, key));
 }
 
+BOOST_AUTO_TEST_CASE(a_released_backend_runs_nothing_of_its_old_owner) {
+  Fleet fleet({.port = 23900,
+               .hosts = 3,
+               .runners = 1,
+               .services = 0,
+               .adapter_slots = 1});
+  const std::string key = fleet.IssueKey("marsu");
+  const int owner = fleet.OwnerOf("r0");
+  const int other = (owner + 1) % 3;
+  auto stream = Async(
+      [&] { return fleet.Complete(other, key, "help@1", "long", 3000, true); });
+  BOOST_TEST(Await(
+      20, [&] { return fleet.RunnerReport(0)["running"].get<int>() == 1; }));
+  // The next owner needs the only slot for another adapter.
+  auto leaving = Async([&] { return fleet.Terminate(fleet.host(owner)); });
+  BOOST_TEST(Await(60, [&] {
+    return fleet.Complete(other, key, "help@2", "next", 2).status == 200;
+  }));
+  BOOST_TEST(leaving.get() == 0);
+  BOOST_TEST(stream.get().status == 200);
+  BOOST_TEST(fleet.RunnerReport(0)["evicted_in_use"] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(rate_and_burst_hold_over_all_hosts) {
   constexpr double kRate = 40;
   constexpr double kBurst = 200;
--- a/rosemaryhook/testing/fake_platform.cc
+++ b/rosemaryhook/testing/fake_platform.cc
@@ -20,7 +20,7 @@
 struct Platform : FakeServer {
   std::map<std::string, Json> rows;
   std::map<std::string, std::string> objects;
-  Json hosts = Json::array();
+  Json hosts = {{"live", Json::array()}, {"leaving", Json::array()}};
   double loads_per_second = 5;
   double load_tokens = 2;
   Time load_refilled = Now();
@@ -175,7 +175,7 @@
   } else if (request.target.starts_with("/weights/")) {
     co_await HandleWeights(platform, reply);
   } else if (request.target == "/hosts") {
-    co_await SendJson(reply, 200, Fields("hosts", platform->hosts));
+    co_await SendJson(reply, 200, platform->hosts);
   } else {
     co_await SendJson(reply, 404, Fields("error", "no such path"));
   }
--- a/rosemaryhook/testing/fleet.cc
+++ b/rosemaryhook/testing/fleet.cc
@@ -128,6 +128,37 @@
   return reply;
 }
 
+std::pair<Reply, Reply> ExchangeKept(
+    const std::string& address,
+    const std::string& target,
+    const std::map<std::string, std::string>& headers,
+    const std::string& body,
+    const std::function<void()>& between) {
+  asio::io_context io;
+  beast::tcp_stream stream(io);
+  stream.connect(EndpointOf(address));
+  beast::flat_buffer buffer;
+  const auto ask = [&] {
+    http::request<http::string_body> request(http::verb::post, target, 11);
+    request.set(http::field::host, address);
+    for (const auto& [name, value] : headers) {
+      request.set(name, value);
+    }
+    request.body() = body;
+    request.prepare_payload();
+    http::response<http::string_body> response;
+    http::write(stream, request);
+    http::read(stream, buffer, response);
+    Reply reply;
+    reply.status = static_cast<int>(response.result_int());
+    reply.body = response.body();
+    return reply;
+  };
+  Reply first = ask();
+  between();
+  return {first, ask()};
+}
+
 std::string SendRaw(const std::string& address, const std::string& bytes) {
   asio::io_context io;
   tcp::socket socket(io);
@@ -170,13 +201,23 @@
       Kill(process);
     }
   }
-  std::filesystem::remove_all(folder_);
+  if (std::getenv("ROSEMARYHOOK_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(folder_);
+  }
 }
 
 std::string Fleet::Address(int offset) const {
   return fmt::format("127.0.0.1:{}", options_.port + offset);
 }
 
+void Fleet::Launch(const std::string& name,
+                   const std::string& program,
+                   std::vector<std::string> arguments) {
+  arguments.insert(arguments.begin(), Program(program));
+  processes_[name] = {name, std::move(arguments), 0};
+  Start(processes_[name]);
+}
+
 void Fleet::Start(Process& process) {
   process.pid = Spawn(process.command, folder_ + "/" + process.name + ".out",
                       folder_ + "/" + process.name + ".log");
@@ -206,32 +247,22 @@
 }
 
 void Fleet::StartAll() {
-  const auto add = [&](const std::string& name,
-                       std::vector<std::string> command) {
-    processes_[name] = {name, std::move(command), 0};
-    Start(processes_[name]);
-  };
-  add("platform", {Program("fake_platform"), "--listen", Platform()});
+  Launch("platform", "fake_platform", {"--listen", Platform()});
   for (int i = 0; i < options_.runners; ++i) {
-    std::vector<std::string> command{Program("fake_runner"),
-                                     "--listen",
-                                     Runner(i),
-                                     "--model",
-                                     "base",
-                                     "--adapter-slots",
-                                     std::to_string(options_.adapter_slots),
-                                     "--token-us",
-                                     std::to_string(options_.token_us),
-                                     "--bears",
-                                     std::to_string(options_.bears)};
+    std::vector<std::string> command{
+        "--listen",        Runner(i),
+        "--model",         "base",
+        "--adapter-slots", std::to_string(options_.adapter_slots),
+        "--token-us",      std::to_string(options_.token_us),
+        "--bears",         std::to_string(options_.bears)};
     if (options_.checks_fencing) {
       command.push_back("--checks-fencing");
     }
-    add(fmt::format("runner{}", i), command);
+    Launch(fmt::format("runner{}", i), "fake_runner", command);
   }
   for (int i = 0; i < options_.services; ++i) {
-    add(fmt::format("service{}", i),
-        {Program("fake_service"), "--listen", Service(i)});
+    Launch(fmt::format("service{}", i), "fake_service",
+           {"--listen", Service(i)});
   }
   Await(30,
         [&] { return Exchange(Platform(), "GET", "/stats").status == 200; });
@@ -242,8 +273,7 @@
         "operators: {}\ntable: {}\nfault_injection: true\n{}",
         i, i % 3, Callers(i), Address(20 + i), Operators(i), Platform(),
         options_.settings);
-    add(fmt::format("host{}", i),
-        {Program("rosemaryhookd"), "--settings", file});
+    Launch(fmt::format("host{}", i), "rosemaryhookd", {"--settings", file});
   }
   Await(30, [&] {
     for (int i = 0; i < options_.hosts; ++i) {
--- a/rosemaryhook/testing/fleet.h
+++ b/rosemaryhook/testing/fleet.h
@@ -7,7 +7,8 @@
 //
 // Tests wait on conditions with generous limits (Await) and never take the
 // passing of time as a verdict. Everything is ended by the destructor, by the
-// process ids that this object started.
+// process ids that this object started. With ROSEMARYHOOK_KEEP_LOGS set the
+// processes' logs stay in the folder for temporary files.
 #ifndef ROSEMARYHOOK_TESTING_FLEET_H_
 #define ROSEMARYHOOK_TESTING_FLEET_H_
 
@@ -74,6 +75,11 @@
   std::string Service(int i) const { return Address(70 + i); }
   std::string Platform() const { return Address(0); }
 
+  // Starts a further program of the build.
+  void Launch(const std::string& name,
+              const std::string& program,
+              std::vector<std::string> arguments);
+
   void Start(Process& process);
   void Kill(Process& process);          // SIGKILL, waits for its end
   int Terminate(Process& process);      // SIGTERM, waits; the exit code
@@ -127,6 +133,14 @@
                const std::map<std::string, std::string>& headers = {},
                const std::string& body = "");
 
+// Two requests on one kept connection, with `between` run before the second.
+std::pair<Reply, Reply> ExchangeKept(
+    const std::string& address,
+    const std::string& target,
+    const std::map<std::string, std::string>& headers,
+    const std::string& body,
+    const std::function<void()>& between);
+
 // Sends raw bytes and returns what comes back until the other side closes.
 std::string SendRaw(const std::string& address, const std::string& bytes);
 
--- a/rosemaryhook/testing/rates_test.cc
+++ b/rosemaryhook/testing/rates_test.cc
@@ -146,7 +146,7 @@
 // Skewed requests on four hosts, loans that are delayed, lost or come twice to
 // a host that is paused, refunds, and slots that move.
 BOOST_AUTO_TEST_CASE(never_above_rate_and_burst_in_any_interval) {
-  constexpr double kRate = 200;
+  constexpr double kRate = 400;
   constexpr double kBurst = 800;
   const std::vector<std::string> names{"a", "b", "c", "d"};
   double admitted = 0;
@@ -168,7 +168,7 @@
     std::vector<Use> uses;
     std::vector<Reserved> open;
     std::vector<Message> messages;
-    for (int step = 0; step < 900; ++step) {
+    for (int step = 0; step < 1600; ++step) {
       const Time now = At(milliseconds(10) * step);
       std::erase_if(messages, [&](const Message& message) {
         if (message.arrives > now) {
@@ -186,13 +186,18 @@
         uses.push_back({reserved.at, reserved.used});
         return true;
       });
-      const size_t host = below(10) < 7 ? 0 : below(4);
+      // Between floods the buckets fill up while requests still run.
+      const bool is_flood = step / 200 % 2 == 0;
+      if (!is_flood && below(40) > 0) {
+        continue;
+      }
+      const size_t host = below(10) < 5 ? 0 : below(4);
       const double cost = 1 + below(150);
       const Admission admission = Admit(kName, cost, now, &hosts[host]);
       if (admission.admitted) {
         open.push_back({host, admission.reservation, cost,
                         static_cast<double>(below(100)) / 100 * cost, now,
-                        now + milliseconds(below(2000))});
+                        now + milliseconds(below(5000))});
       } else {
         const size_t giver = below(4);
         if (giver != host) {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -41,7 +41,10 @@
   failure/a_change_whose_answer_is_lost_takes_effect_once
   failure/a_withdrawn_key_stops_within_seconds
   failure/a_zone_out_gets_no_new_work_and_comes_back
+  failure/a_leaving_backend_gets_no_new_work
+  failure/a_host_dies_while_a_zone_is_out_and_the_table_is_slow
   failure/a_graceful_shutdown_cuts_nothing
+  failure/a_released_backend_runs_nothing_of_its_old_owner
   failure/rate_and_burst_hold_over_all_hosts
   booking_process/repeats_get_the_stored_answer_or_wait
   booking_process/an_answer_that_never_came_is_unknown_for_good
