--- a/rosemaryhook/fleet_sync.cc
+++ b/rosemaryhook/fleet_sync.cc
@@ -13,6 +13,7 @@
 using HostPtr = std::shared_ptr<Host>;
 
 constexpr Duration kTableInterval = std::chrono::seconds(1);
+constexpr int64_t kMembersPerSkippedRead = 16;
 constexpr Duration kTableLimit = std::chrono::seconds(2);
 constexpr Duration kTableGap = std::chrono::seconds(5);
 // Each member asks each other one once in a contact interval, which grows with
@@ -198,13 +199,21 @@
   WakeIfBehind(host.get());
 }
 
+// The heartbeat rows are the larger part of a read, so a large fleet reads them
+// with every second or third only.
+std::string HeartbeatsToRead(const Host& host, int64_t read) {
+  const auto members = static_cast<int64_t>(host.board.fleet.sessions.size());
+  const int64_t every = 1 + members / kMembersPerSkippedRead;
+  return read % every == 0 ? kHeartbeatPrefix : "";
+}
+
 awaitable<void> TableLoop(HostPtr host) {
   bool was_good = true;
-  while (!host->stopping) {
+  for (int64_t number = 0; !host->stopping; ++number) {
     const Time sent = Now();
     auto read =
         co_await Read(host->table, Keys(kHeadRow, kInForceRow, kSnapshotRow),
-                      kHeartbeatPrefix, sent + kTableLimit);
+                      HeartbeatsToRead(*host, number), sent + kTableLimit);
     const bool is_good = Failure(read) == nullptr;
     if (is_good) {
       TakeTableRows(host, std::get<Rows>(read), sent);
@@ -312,7 +321,7 @@
   peer->second->is_draining = answer.value("draining", false);
   ForgetSent(board.fleet, session, &board.directory);
   try {
-    TakeViews(answer.at("views"), &board.directory);
+    TakeViews(answer.value("views", Json::object()), &board.directory);
     peer->second->views = answer.at("newest_view").get<int64_t>();
   } catch (const Json::exception& e) {
     Log("bad_views", {{"peer", session}, {"why", e.what()}});
@@ -680,13 +689,22 @@
   board.contact.heard = std::max(board.contact.heard, known);
   WakeIfBehind(host);
   RenewViews(host);
-  return {{"session", board.session},
-          {"known", board.contact.heard},
-          {"in_force", board.contact.in_force},
-          {"draining", board.draining},
-          {"views", ViewsToJson(*host, question.value("views", int64_t{0}))},
-          {"newest_view", host->newest_view},
-          {"suspects", SuspectsToJson(board.suspects, Now())}};
+  Json answer = {{"session", board.session},
+                 {"known", board.contact.heard},
+                 {"in_force", board.contact.in_force},
+                 {"newest_view", host->newest_view}};
+  // Most answers have none of these, and there are many answers.
+  Json views = ViewsToJson(*host, question.value("views", int64_t{0}));
+  if (!views.empty()) {
+    answer["views"] = std::move(views);
+  }
+  if (!board.suspects.by_fingerprint.empty()) {
+    answer["suspects"] = SuspectsToJson(board.suspects, Now());
+  }
+  if (board.draining) {
+    answer["draining"] = true;
+  }
+  return answer;
 }
 
 Json AnswerChanges(const Host& host, const Json& question) {
--- a/rosemaryhook/peer_link.cc
+++ b/rosemaryhook/peer_link.cc
@@ -403,8 +403,11 @@
       Close();
       break;
     }
-    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
-    Flush();
+    // What arrived lately shows that the connection lives; no PING is needed.
+    if (Now() - last_received_ >= kPingInterval) {
+      nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+      Flush();
+    }
   }
 }
 
--- a/rosemaryhook/peer_link.h
+++ b/rosemaryhook/peer_link.h
@@ -7,8 +7,9 @@
 //   auto frame = co_await stream->Read(deadline);   // nullopt at the end
 //
 // A message is one CBOR document (RFC 8949) behind a length of four bytes.
-// Both sides send PING frames; a connection on which nothing arrives for
-// kSilenceLimit is closed, and its streams end with an error.
+// Both sides send PING frames when nothing arrives; a connection on which
+// nothing arrives for kSilenceLimit is closed, and its streams end with an
+// error.
 //
 // Memory: a stream holds at most kStreamBuffer plus one message to send, and
 // kMaxMessage plus kStreamBuffer received.
