--- /dev/null
+++ b/rosemaryhook/acting.cc
@@ -0,0 +1,43 @@
+#include "rosemaryhook/acting.h"
+
+#include "rosemaryhook/host.h"
+#include "rosemaryhook/membership.h"
+
+namespace rosemaryhook {
+namespace {
+
+constexpr Duration kBehindPause = std::chrono::milliseconds(2);
+constexpr Duration kBehindLimit = std::chrono::seconds(2);
+
+}  // namespace
+
+awaitable<std::string_view> AwaitActing(std::shared_ptr<Host> host) {
+  const Time deadline = Now() + kBehindLimit;
+  while (WhyNotActing(*host) == kBehind && Now() < deadline) {
+    co_await Sleep(kBehindPause);
+  }
+  co_return WhyNotActing(*host);
+}
+
+std::string WhyClosed(const Host& host, const OwnedBackend& owned) {
+  const std::string_view why = WhyNotActing(host);
+  if (!why.empty()) {
+    return std::string(why);
+  }
+  const auto claim = host.board.fleet.claims.find(BackendResource(owned.name));
+  if (owned.lost || host.stopping || claim == host.board.fleet.claims.end() ||
+      !IsActingOwner(host.board.contact, claim->second)) {
+    return "not-owner";
+  }
+  if (IsListed(host.board.leaving, owned.state.config.address)) {
+    return "backend-leaving";
+  }
+  return IsOpen(host.board.fleet, owned.state.config) ? "" : "zone-out";
+}
+
+std::function<bool()> StillOpen(const std::shared_ptr<Host>& host,
+                                const std::shared_ptr<OwnedBackend>& owned) {
+  return [host, owned] { return WhyClosed(*host, *owned).empty(); };
+}
+
+}  // namespace rosemaryhook
--- a/rosemaryhook/daemon.cc
+++ b/rosemaryhook/daemon.cc
@@ -4,6 +4,8 @@
 
 #include "rosemaryhook/admission.h"
 #include "rosemaryhook/caller_service.h"
+#include "rosemaryhook/contact_exchange.h"
+#include "rosemaryhook/fleet_apply.h"
 #include "rosemaryhook/fleet_sync.h"
 #include "rosemaryhook/host.h"
 #include "rosemaryhook/log.h"
--- a/rosemaryhook/dispatcher.cc
+++ b/rosemaryhook/dispatcher.cc
@@ -5,28 +5,21 @@
 
 #include <algorithm>
 
-#include "rosemaryhook/admission.h"
+#include "rosemaryhook/acting.h"
+#include "rosemaryhook/answer_relay.h"
 #include "rosemaryhook/host.h"
+#include "rosemaryhook/load_reports.h"
 #include "rosemaryhook/log.h"
-#include "rosemaryhook/membership.h"
+#include "rosemaryhook/orders.h"
 
 namespace rosemaryhook {
 namespace {
 
-constexpr Duration kReportInterval = std::chrono::milliseconds(500);
-constexpr Duration kReportLimit = std::chrono::seconds(1);
-constexpr int kFailedReportsToClose = 2;
-constexpr Duration kLoadLimit = std::chrono::seconds(30);
-constexpr Duration kProbeLimit = std::chrono::seconds(1);
-constexpr Duration kProbePause = std::chrono::milliseconds(100);
-constexpr int kCrashProbes = 3;
-constexpr std::string_view kBehind = "behind";
-constexpr Duration kBehindPause = std::chrono::milliseconds(2);
-constexpr Duration kBehindLimit = std::chrono::seconds(2);
-
 using OwnedPtr = std::shared_ptr<OwnedBackend>;
 using HostPtr = std::shared_ptr<Host>;
 
+constexpr Duration kBehindPause = std::chrono::milliseconds(2);
+
 DispatchFailure NotRun(const OwnedBackend* owned,
                        Step step,
                        std::string code,
@@ -38,112 +31,6 @@
   return failure;
 }
 
-// Why this host may not send to `owned` now, empty if it may.
-std::string WhyClosed(const Host& host, const OwnedBackend& owned) {
-  const std::string_view why = WhyNotActing(host);
-  if (!why.empty()) {
-    return std::string(why);
-  }
-  const auto claim = host.board.fleet.claims.find(BackendResource(owned.name));
-  if (owned.lost || host.stopping || claim == host.board.fleet.claims.end() ||
-      !IsActingOwner(host.board.contact, claim->second)) {
-    return "not-owner";
-  }
-  if (IsListed(host.board.leaving, owned.state.config.address)) {
-    return "backend-leaving";
-  }
-  return IsOpen(host.board.fleet, owned.state.config) ? "" : "zone-out";
-}
-
-// Orders and requests are checked against the clock once more when their
-// connection stands: connecting takes time, in which contact can run out.
-std::function<bool()> StillOpen(const HostPtr& host, const OwnedPtr& owned) {
-  return [host, owned] { return WhyClosed(*host, *owned).empty(); };
-}
-
-HttpCall OrderCall(const HostPtr& host,
-                   const OwnedPtr& owned,
-                   const char* target,
-                   const std::string& adapter,
-                   Duration limit) {
-  HttpCall call;
-  call.address = owned->state.config.address;
-  call.target = target;
-  call.headers = {{"content-type", "application/json"}};
-  call.body =
-      Json({{"lora_name", adapter}, {"fence", owned->state.fence}}).dump();
-  call.deadline = Now() + limit;
-  call.fresh_connection = true;
-  call.may_send = StillOpen(host, owned);
-  return call;
-}
-
-bool IsOk(const Result<HttpAnswer>& fetched) {
-  const auto* answer = std::get_if<HttpAnswer>(&fetched);
-  return answer != nullptr && answer->status == 200;
-}
-
-std::string WhyFailed(const Result<HttpAnswer>& fetched) {
-  if (const Error* error = Failure(fetched)) {
-    return error->message;
-  }
-  return "status " + std::to_string(std::get<HttpAnswer>(fetched).status);
-}
-
-// Loads draw one token each from the weight store's shared rate.
-awaitable<void> CarryOutLoad(HostPtr host,
-                             OwnedPtr owned,
-                             std::string adapter) {
-  const Time begun = Now();
-  const Time deadline = begun + kLoadLimit;
-  const bool admitted = co_await AdmitLoad(host, deadline);
-  bool loaded = false;
-  std::string why = "weight-store-busy";
-  if (admitted) {
-    why = WhyClosed(*host, *owned);
-    if (why.empty()) {
-      auto fetched = co_await Fetch(
-          &host->pool,
-          OrderCall(host, owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
-      loaded = IsOk(fetched);
-      why = loaded ? "ordered" : WhyFailed(fetched);
-    }
-  }
-  const Time now = Now();
-  Log("load", {{"backend", owned->name},
-               {"adapter", adapter},
-               {"loaded", loaded ? "yes" : "no"},
-               {"why", why},
-               {"ms", Millis(now - begun)}});
-  host->board.metrics.Count("loads_total",
-                            loaded ? "result=\"ok\"" : "result=\"failed\"");
-  host->board.metrics.Observe(
-      "load_seconds", std::chrono::duration<double>(now - begun).count());
-  NoteLoaded(adapter, loaded, now, &owned->state);
-  owned->pump.Notify();
-}
-
-awaitable<void> CarryOutEvict(HostPtr host,
-                              OwnedPtr owned,
-                              std::string adapter,
-                              std::string why) {
-  std::string closed = WhyClosed(*host, *owned);
-  bool evicted = false;
-  if (closed.empty()) {
-    auto fetched = co_await Fetch(
-        &host->pool, OrderCall(host, owned, "/v1/unload_lora_adapter", adapter,
-                               kEvictLimit));
-    evicted = IsOk(fetched);
-    closed = evicted ? why : WhyFailed(fetched);
-  }
-  Log("evict", {{"backend", owned->name},
-                {"adapter", adapter},
-                {"evicted", evicted ? "yes" : "no"},
-                {"why", closed}});
-  NoteEvicted(adapter, evicted, Now(), &owned->state);
-  owned->pump.Notify();
-}
-
 void WakeWaiter(const OwnedPtr& owned, const Action& action) {
   const auto found = owned->waiters.find(action.request);
   if (found == owned->waiters.end()) {
@@ -208,102 +95,6 @@
   RefuseAll(owned, "not-owner");
 }
 
-awaitable<std::optional<LoadReport>> FetchReport(HostPtr host,
-                                                 std::string address) {
-  HttpCall call;
-  call.address = std::move(address);
-  call.method = "GET";
-  call.target = "/v1/load";
-  call.deadline = Now() + kReportLimit;
-  call.fresh_connection = true;
-  const Time asked = Now();
-  auto fetched = co_await Fetch(&host->pool, std::move(call));
-  if (!IsOk(fetched)) {
-    co_return std::nullopt;
-  }
-  const Json json =
-      Json::parse(std::get<HttpAnswer>(fetched).body, nullptr, false);
-  try {
-    LoadReport report;
-    json.at("incarnation").get_to(report.incarnation);
-    json.at("running").get_to(report.running);
-    json.at("adapters").get_to(report.adapters);
-    report.measured_after = asked - kReportLag;
-    co_return report;
-  } catch (const Json::exception&) {
-    co_return std::nullopt;
-  }
-}
-
-void TakeReport(const OwnedPtr& owned,
-                const std::optional<LoadReport>& report) {
-  if (!report) {
-    if (++owned->failed_reports >= kFailedReportsToClose && owned->reachable) {
-      owned->reachable = false;
-      Log("backend_unreachable", {{"backend", owned->name}});
-    }
-    return;
-  }
-  if (!owned->reachable) {
-    Log("backend_reachable", {{"backend", owned->name}});
-  }
-  owned->failed_reports = 0;
-  owned->reachable = true;
-  if (report->incarnation != owned->state.incarnation) {
-    Log("backend_incarnation", {{"backend", owned->name},
-                                {"incarnation", report->incarnation},
-                                {"window", 1}});
-  }
-  NoteReport(*report, Now(), &owned->state);
-  owned->pump.Notify();
-}
-
-awaitable<void> ReportLoop(HostPtr host, OwnedPtr owned) {
-  while (!owned->lost && !host->stopping) {
-    const auto report = co_await FetchReport(host, owned->state.config.address);
-    if (!owned->lost) {
-      TakeReport(owned, report);
-    }
-    co_await Sleep(kReportInterval);
-  }
-}
-
-bool IsTimeout(const Error& error) {
-  return error.message == beast::error_code(beast::error::timeout).message();
-}
-
-// Whether the backend server has crashed since `incarnation`: its port refuses
-// connections, or another incarnation answers. A silent one has not crashed as
-// far as can be told.
-awaitable<bool> HasCrashed(HostPtr host,
-                           std::string address,
-                           std::string incarnation) {
-  for (int probe = 0; probe < kCrashProbes; ++probe) {
-    HttpCall call;
-    call.address = address;
-    call.method = "GET";
-    call.target = "/v1/load";
-    call.deadline = Now() + kProbeLimit;
-    call.fresh_connection = true;
-    auto fetched = co_await Fetch(&host->pool, std::move(call));
-    if (const auto* answer = std::get_if<HttpAnswer>(&fetched)) {
-      const Json json = Json::parse(answer->body, nullptr, false);
-      co_return json.is_object() &&
-          json.value("incarnation", incarnation) != incarnation;
-    }
-    const Error& error = std::get<Error>(fetched);
-    if (IsTimeout(error)) {
-      co_return false;
-    }
-    if (error.step == Step::kConnect) {
-      co_return true;
-    }
-    // The connection broke: the process may be about to end.
-    co_await Sleep(kProbePause);
-  }
-  co_return false;
-}
-
 // A request's time on the backend server; ends its place in `running`.
 struct Turn {
   HostPtr host;
@@ -343,26 +134,6 @@
   co_return std::nullopt;
 }
 
-bool IsHopByHop(const std::string& name) {
-  constexpr std::array<std::string_view, 7> kNames{
-      "connection",     "keep-alive", "transfer-encoding",
-      "content-length", "upgrade",    "proxy-authenticate",
-      "trailer"};
-  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view n) {
-    return beast::iequals({n.data(), n.size()}, name);
-  });
-}
-
-AnswerHead MakeHead(const HttpHead& head) {
-  AnswerHead answer{head.status, {}};
-  for (const auto& header : head.headers) {
-    if (!IsHopByHop(header.first)) {
-      answer.headers.push_back(header);
-    }
-  }
-  return answer;
-}
-
 HttpCall MakeCall(const HostPtr& host,
                   const OwnedPtr& owned,
                   const DispatchRequest& request) {
@@ -379,70 +150,6 @@
   return call;
 }
 
-// Passes an answer on while checking that the adapter that was asked for made
-// it. Nothing goes out before the adapter's name has been seen.
-class AnswerRelay {
- public:
-  AnswerRelay(const DispatchRequest& request, const AnswerSink& sink)
-      : adapter_(request.adapter), sink_(sink) {}
-
-  void TakeHead(AnswerHead head, bool is_stream) {
-    head_ = std::move(head);
-    scan_.is_stream = is_stream;
-    checks_adapter_ = !adapter_.empty() && head_.status == 200;
-  }
-
-  // False if nobody listens any more or the adapter is wrong.
-  awaitable<bool> TakeChunk(std::string chunk) {
-    if (checks_adapter_) {
-      ScanAnswer(chunk, &scan_);
-    }
-    held_ += chunk;
-    const bool is_known = !checks_adapter_ || !scan_.model.empty();
-    co_return !is_known || co_await Release();
-  }
-
-  awaitable<bool> Finish() {
-    if (checks_adapter_) {
-      FinishScan(&scan_);
-    }
-    co_return co_await Release();
-  }
-
-  bool is_wrong_adapter() const {
-    return checks_adapter_ && scan_.model != adapter_;
-  }
-  bool head_sent() const { return head_sent_; }
-  bool is_cut() const {
-    return checks_adapter_ && scan_.is_stream && !scan_.ended;
-  }
-  int64_t tokens() const { return scan_.total_tokens; }
-
- private:
-  awaitable<bool> Release() {
-    if (is_wrong_adapter()) {
-      co_return false;
-    }
-    if (!head_sent_) {
-      head_sent_ = true;
-      if (!co_await sink_.head(head_)) {
-        co_return false;
-      }
-    }
-    std::string data = std::move(held_);
-    held_.clear();
-    co_return data.empty() || co_await sink_.chunk(std::move(data));
-  }
-
-  std::string adapter_;
-  const AnswerSink& sink_;
-  AnswerHead head_;
-  AnswerScan scan_;
-  std::string held_;
-  bool checks_adapter_ = false;
-  bool head_sent_ = false;
-};
-
 DispatchFailure AfterSend(const OwnedBackend& owned,
                           const Error& error,
                           const std::string& code,
@@ -530,9 +237,7 @@
     exchange.Cancel();
     co_return *refusal;
   }
-  const bool is_stream =
-      HeaderOf(head.headers, "content-type").starts_with("text/event-stream");
-  relay.TakeHead(MakeHead(head), is_stream);
+  relay.TakeHead(head);
   co_return co_await RelayBody(owned, exchange, relay);
 }
 
@@ -577,14 +282,6 @@
 
 }  // namespace
 
-awaitable<std::string_view> AwaitActing(HostPtr host) {
-  const Time deadline = Now() + kBehindLimit;
-  while (WhyNotActing(*host) == kBehind && Now() < deadline) {
-    co_await Sleep(kBehindPause);
-  }
-  co_return WhyNotActing(*host);
-}
-
 awaitable<DispatchResult> Dispatch(HostPtr host,
                                    DispatchRequest request,
                                    AnswerSink sink) {
--- a/rosemaryhook/fleet_sync.h
+++ b/rosemaryhook/fleet_sync.h
@@ -6,8 +6,9 @@
 //   ...
 //   co_await LeaveFleet(host);
 //
-// The decisions are in contact.h, membership.h, claims.h and rates.h; this file
-// asks, waits and writes.
+// The decisions are in contact.h, membership.h, claims.h and rates.h. This file
+// reads and writes the table; fleet_apply.h, contact_exchange.h and ownership.h
+// are its other parts.
 #ifndef ROSEMARYHOOK_FLEET_SYNC_H_
 #define ROSEMARYHOOK_FLEET_SYNC_H_
 
@@ -30,10 +31,6 @@
 // Gives back what this host owns, once nothing of its own runs there.
 boost::asio::awaitable<void> LeaveFleet(std::shared_ptr<Host> host);
 
-// Answers to peers.
-Json AnswerContact(Host* host, const Json& question);
-Json AnswerChanges(const Host& host, const Json& question);
-
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_FLEET_SYNC_H_
--- a/rosemaryhook/host.h
+++ b/rosemaryhook/host.h
@@ -64,10 +64,6 @@
   return WhyNotActing(host.board.contact, host.board.fleet.revision, Now());
 }
 
-// Waits while this host is only behind, which lasts one read of the table, and
-// returns why it may not act, empty if it may.
-awaitable<std::string_view> AwaitActing(std::shared_ptr<Host> host);
-
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_HOST_H_
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -174,6 +174,9 @@
   std::string body;
 };
 
+// Whether a whole answer with status 200 came.
+bool IsOk(const Result<HttpAnswer>& fetched);
+
 // A whole exchange, the body gathered up to `max_body` bytes.
 awaitable<Result<HttpAnswer>> Fetch(HttpPool* pool,
                                     HttpCall call,
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -165,6 +165,11 @@
   }
 }
 
+bool IsOk(const Result<HttpAnswer>& fetched) {
+  const auto* answer = std::get_if<HttpAnswer>(&fetched);
+  return answer != nullptr && answer->status == 200;
+}
+
 awaitable<Result<HttpAnswer>> Fetch(HttpPool* pool,
                                     HttpCall call,
                                     size_t max_body) {
--- /dev/null
+++ b/rosemaryhook/orders.cc
@@ -0,0 +1,95 @@
+#include "rosemaryhook/orders.h"
+
+#include "rosemaryhook/acting.h"
+#include "rosemaryhook/admission.h"
+#include "rosemaryhook/host.h"
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+using OwnedPtr = std::shared_ptr<OwnedBackend>;
+using HostPtr = std::shared_ptr<Host>;
+
+constexpr Duration kLoadLimit = std::chrono::seconds(30);
+
+HttpCall OrderCall(const HostPtr& host,
+                   const OwnedPtr& owned,
+                   const char* target,
+                   const std::string& adapter,
+                   Duration limit) {
+  HttpCall call;
+  call.address = owned->state.config.address;
+  call.target = target;
+  call.headers = {{"content-type", "application/json"}};
+  call.body =
+      Json({{"lora_name", adapter}, {"fence", owned->state.fence}}).dump();
+  call.deadline = Now() + limit;
+  call.fresh_connection = true;
+  call.may_send = StillOpen(host, owned);
+  return call;
+}
+
+std::string WhyFailed(const Result<HttpAnswer>& fetched) {
+  if (const Error* error = Failure(fetched)) {
+    return error->message;
+  }
+  return "status " + std::to_string(std::get<HttpAnswer>(fetched).status);
+}
+
+}  // namespace
+
+awaitable<void> CarryOutLoad(HostPtr host,
+                             OwnedPtr owned,
+                             std::string adapter) {
+  const Time begun = Now();
+  const Time deadline = begun + kLoadLimit;
+  const bool admitted = co_await AdmitLoad(host, deadline);
+  bool loaded = false;
+  std::string why = "weight-store-busy";
+  if (admitted) {
+    why = WhyClosed(*host, *owned);
+    if (why.empty()) {
+      auto fetched = co_await Fetch(
+          &host->pool,
+          OrderCall(host, owned, "/v1/load_lora_adapter", adapter, kLoadLimit));
+      loaded = IsOk(fetched);
+      why = loaded ? "ordered" : WhyFailed(fetched);
+    }
+  }
+  const Time now = Now();
+  Log("load", {{"backend", owned->name},
+               {"adapter", adapter},
+               {"loaded", loaded ? "yes" : "no"},
+               {"why", why},
+               {"ms", Millis(now - begun)}});
+  host->board.metrics.Count("loads_total",
+                            loaded ? "result=\"ok\"" : "result=\"failed\"");
+  host->board.metrics.Observe(
+      "load_seconds", std::chrono::duration<double>(now - begun).count());
+  NoteLoaded(adapter, loaded, now, &owned->state);
+  owned->pump.Notify();
+}
+
+awaitable<void> CarryOutEvict(HostPtr host,
+                              OwnedPtr owned,
+                              std::string adapter,
+                              std::string why) {
+  std::string closed = WhyClosed(*host, *owned);
+  bool evicted = false;
+  if (closed.empty()) {
+    auto fetched = co_await Fetch(
+        &host->pool, OrderCall(host, owned, "/v1/unload_lora_adapter", adapter,
+                               kEvictLimit));
+    evicted = IsOk(fetched);
+    closed = evicted ? why : WhyFailed(fetched);
+  }
+  Log("evict", {{"backend", owned->name},
+                {"adapter", adapter},
+                {"evicted", evicted ? "yes" : "no"},
+                {"why", closed}});
+  NoteEvicted(adapter, evicted, Now(), &owned->state);
+  owned->pump.Notify();
+}
+
+}  // namespace rosemaryhook
