Give a backend server back only when no order is under way

Shown: backend_state/orders_under_way_are_not_idle failed with the guard taken out (two checks) and passes with it.

--- a/rosemaryhook/backend_state.cc
+++ b/rosemaryhook/backend_state.cc
@@ -289,6 +289,11 @@
   return static_cast<int>(state.running.size()) + state.foreign_running;
 }
 
+bool IsIdle(const BackendState& state) {
+  return state.running.empty() && state.queue.empty() &&
+         LoadingCount(state) == 0;
+}
+
 bool HasRoom(const BackendState& state) {
   return RunningCount(state) < std::min(state.window, state.config.slots);
 }
--- a/rosemaryhook/backend_state.h
+++ b/rosemaryhook/backend_state.h
@@ -114,6 +114,10 @@
 // How many requests run on the backend server, an earlier owner's included.
 int RunningCount(const BackendState& state);
 
+// Whether nothing of this owner is under way there: no request and no order. An
+// order that arrived after a release could evict what the next owner uses.
+bool IsIdle(const BackendState& state);
+
 // Whether a further request would start at once, were its adapter resident.
 bool HasRoom(const BackendState& state);
 
--- a/rosemaryhook/ownership.cc
+++ b/rosemaryhook/ownership.cc
@@ -36,7 +36,7 @@
   for (const auto& [name, owned] : host.owned) {
     if (BackendResource(name) == resource) {
       owned->state.draining = true;
-      return owned->state.running.empty() && owned->state.queue.empty();
+      return IsIdle(owned->state);
     }
   }
   return true;
--- a/rosemaryhook/testing/backend_process_test.cc
+++ b/rosemaryhook/testing/backend_process_test.cc
@@ -42,6 +42,7 @@
                .adapter_slots = 2});
   const std::string key = fleet.IssueKey("marsu");
   std::vector<std::future<Reply>> calls;
+  calls.reserve(32);
   for (int n = 0; n < 18; ++n) {
     calls.push_back(Async([&fleet, &key, n] {
       return fleet.Complete(n % 2, key, "help@" + std::to_string(1 + n % 9),
@@ -69,6 +70,7 @@
                .bears = 1});
   const std::string key = fleet.IssueKey("marsu");
   std::vector<std::future<Reply>> calls;
+  calls.reserve(32);
   for (int n = 0; n < 24; ++n) {
     calls.push_back(Async([&fleet, &key, n] {
       return fleet.Complete(n % 2, key, "help@1", "c", 10);
@@ -86,6 +88,7 @@
   const std::string key = fleet.IssueKey("marsu");
   // Innocent streams run beside it on the same adapter.
   std::vector<std::future<Reply>> innocents;
+  innocents.reserve(32);
   for (int n = 0; n < 3; ++n) {
     innocents.push_back(Async([&fleet, &key, n] {
       return fleet.Complete(n, key, "help@1", "innocent" + std::to_string(n),
--- a/rosemaryhook/testing/backend_state_test.cc
+++ b/rosemaryhook/testing/backend_state_test.cc
@@ -170,6 +170,21 @@
   BOOST_TEST(Text(Schedule(At(seconds(0)), &state)) == "start3:a@1 ");
 }
 
+BOOST_AUTO_TEST_CASE(orders_under_way_are_not_idle) {
+  BackendState state = RunnerOf(2, 1);
+  BOOST_TEST(IsIdle(state));
+  Enqueue(RequestOf(1, "x", "a@1"), &state);
+  Schedule(At(seconds(0)), &state);
+  Dequeue(1, &state);  // the caller's deadline; the load goes on
+  BOOST_TEST(!IsIdle(state));
+  NoteLoaded("a@1", true, At(seconds(1)), &state);
+  BOOST_TEST(IsIdle(state));
+  Enqueue(RequestOf(2, "x", "b@1"), &state);
+  Schedule(At(seconds(1)), &state);  // evicts a@1
+  Dequeue(2, &state);
+  BOOST_TEST(!IsIdle(state));
+}
+
 BOOST_AUTO_TEST_CASE(a_new_owner_spares_what_the_old_one_runs) {
   BackendState state = RunnerOf(2, 1);
   state.incarnation.clear();
--- a/rosemaryhook/testing/booking_process_test.cc
+++ b/rosemaryhook/testing/booking_process_test.cc
@@ -13,6 +13,7 @@
   const std::string key = fleet.IssueKey("marsu");
   fleet.Fault(fleet.Service(0), {{"late_ms", 500}});
   std::vector<std::future<Reply>> calls;
+  calls.reserve(32);
   for (int n = 0; n < 9; ++n) {
     calls.push_back(Async(
         [&fleet, &key, n] { return fleet.Book(n % 3, key, "pig-1", "k1"); }));
--- a/rosemaryhook/testing/failure_process_test.cc
+++ b/rosemaryhook/testing/failure_process_test.cc
@@ -266,6 +266,7 @@
   // Streams through the host that leaves and through another one, on both
   // runners.
   std::vector<std::future<Reply>> streams;
+  streams.reserve(32);
   for (int n = 0; n < 6; ++n) {
     const int entry = n % 2 == 0 ? owner : (owner + 1) % 3;
     streams.push_back(Async([&fleet, &key, entry, n] {
@@ -323,6 +324,7 @@
   const std::string key = fleet.IssueKey("marsu");
   const auto begun = std::chrono::steady_clock::now();
   std::vector<std::future<int64_t>> floods;
+  floods.reserve(32);
   for (int i = 0; i < 3; ++i) {
     floods.push_back(Async([&fleet, &key, i] {
       int64_t used = 0;
--- a/rosemaryhook/testing/fleet.cc
+++ b/rosemaryhook/testing/fleet.cc
@@ -16,8 +16,6 @@
 #include <sstream>
 #include <thread>
 
-extern char** environ;
-
 namespace rosemaryhook::testing {
 namespace {
 
