Let the fake runner report its cache late and with gaps

Cause: the list of the fakes' faults asks for it; nothing reads the events yet. Change: numbered events 500 ms late, and a fault that leaves numbers out. Shown: path/the_fake_reports_its_cache_late_and_with_gaps passes, one run.

--- a/rosemaryhook/testing/fake_runner.cc
+++ b/rosemaryhook/testing/fake_runner.cc
@@ -8,8 +8,10 @@
 // answer; "wrong_adapter" answers as another adapter; "cut_after" N cuts an
 // answer after N tokens; "silent" N never answers the next N requests, while
 // others are answered. A prompt with the word CRASH ends the process. With
-// --bears N the process ends when more than N requests run at once before it
-// has completed as many.
+// GET /v1/cache_events/SINCE answers the prefix cache's events after number
+// SINCE, kEventLag late; "drop_events" N leaves the next N out, so that numbers
+// have gaps. With --bears N the process ends when more than N requests run at
+// once before it has completed as many.
 #include <CLI/CLI.hpp>
 #include <set>
 
@@ -19,6 +21,18 @@
 namespace rosemaryhook::testing {
 namespace {
 
+constexpr Duration kEventLag = std::chrono::milliseconds(500);
+constexpr size_t kMaxEvents = 1000;
+constexpr std::string_view kEventsPath = "/v1/cache_events/";
+
+// A prompt's prefix entered the cache.
+struct CacheEvent {
+  int64_t number = 0;
+  std::string adapter;
+  std::string prefix;
+  Time at;
+};
+
 struct Runner : FakeServer {
   std::string model;
   std::string platform;  // weight store, empty to load without one
@@ -34,6 +48,8 @@
   int64_t completed = 0;
   int64_t loads = 0;
   int64_t evicted_in_use = 0;
+  int64_t newest_event = 0;
+  std::deque<CacheEvent> events;
   HttpPool pool;
 };
 
@@ -111,6 +127,38 @@
              adapters));
 }
 
+struct Completion {
+  bool chat = false;
+  bool stream = false;
+  std::string adapter;
+  std::string prompt;
+  int64_t tokens = 0;
+};
+
+void NoteCached(Runner* runner, const Completion& completion) {
+  ++runner->newest_event;
+  if (runner->faults.Take("drop_events")) {
+    return;
+  }
+  runner->events.push_back({runner->newest_event, completion.adapter,
+                            completion.prompt.substr(0, 64), Now()});
+  if (runner->events.size() > kMaxEvents) {
+    runner->events.pop_front();
+  }
+}
+
+Json EventsSince(const Runner& runner, int64_t since) {
+  Json events = Json::array();
+  for (const CacheEvent& event : runner.events) {
+    if (event.number > since && event.at + kEventLag <= Now()) {
+      events.push_back({{"number", event.number},
+                        {"adapter", event.adapter},
+                        {"prefix", event.prefix}});
+    }
+  }
+  return events;
+}
+
 std::string PromptOf(const Json& body) {
   if (body.contains("messages")) {
     return body.at("messages").back().value("content", "");
@@ -134,14 +182,6 @@
   return {{"index", 0}, {stream ? "delta" : "message", content}};
 }
 
-struct Completion {
-  bool chat = false;
-  bool stream = false;
-  std::string adapter;
-  std::string prompt;
-  int64_t tokens = 0;
-};
-
 Json Document(const Completion& completion, const std::string& text) {
   return {{"id", "cmpl"},
           {"model", completion.adapter},
@@ -227,6 +267,7 @@
   }
   const bool whole = co_await Generate(runner, completion, reply);
   runner->completed += whole ? 1 : 0;
+  NoteCached(runner, completion);
   --runner->running;
   const auto found = runner->adapters.find(adapter);
   if (found != runner->adapters.end()) {
@@ -244,6 +285,12 @@
     co_await HandleReport(runner, reply);
     co_return;
   }
+  if (request.target.starts_with(kEventsPath)) {
+    const std::string since = request.target.substr(kEventsPath.size());
+    co_await SendJson(reply, 200,
+                      EventsSince(*runner, std::atoll(since.c_str())));
+    co_return;
+  }
   Json body = Json::parse(request.body, nullptr, false);
   if (!body.is_object()) {
     co_await SendJson(reply, 400, Fields("error", "expected a JSON object"));
--- a/rosemaryhook/testing/path_process_test.cc
+++ b/rosemaryhook/testing/path_process_test.cc
@@ -102,6 +102,26 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(the_fake_reports_its_cache_late_and_with_gaps) {
+  Fleet fleet({.port = 21300, .hosts = 1, .runners = 1, .services = 0});
+  const std::string key = fleet.IssueKey("marsu");
+  const auto numbers = [&] {
+    std::vector<int> found;
+    const Json events =
+        Exchange(fleet.Runner(0), "GET", "/v1/cache_events/0").Document();
+    for (const Json& event : events) {
+      found.push_back(event["number"].get<int>());
+    }
+    return found;
+  };
+  fleet.Complete(0, key, "help@1", "first", 1);
+  fleet.Fault(fleet.Runner(0), {{"drop_events", 1}});
+  fleet.Complete(0, key, "help@1", "second", 1);
+  fleet.Complete(0, key, "help@1", "third", 1);
+  const std::vector<int> with_gap{1, 3};
+  BOOST_TEST(Await(10, [&] { return numbers() == with_gap; }));
+}
+
 BOOST_AUTO_TEST_CASE(operators_race_and_repeat) {
   Fleet fleet({.port = 21200, .hosts = 2, .runners = 1, .services = 0});
   const std::string status = fleet.Ctl({"status"});
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -33,6 +33,7 @@
 set(PROCESS_TESTS
   path/requests_and_refusals
   path/unreadable_requests
+  path/the_fake_reports_its_cache_late_and_with_gaps
   path/operators_race_and_repeat
   failure/a_killed_host_is_replaced
   failure/a_paused_owner_does_not_act_after_its_deadlines
