--- a/rosemaryhook/testing/fleet.cc
+++ b/rosemaryhook/testing/fleet.cc
@@ -41,6 +41,7 @@
   posix_spawn_file_actions_addopen(&actions, 1, out.c_str(), kFlags, 0644);
   posix_spawn_file_actions_addopen(&actions, 2, err.c_str(), kFlags, 0644);
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& argument : command) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/rosemaryhook/testing/path_process_test.cc
+++ b/rosemaryhook/testing/path_process_test.cc
@@ -107,6 +107,7 @@
   const std::string key = fleet.IssueKey("marsu");
   const auto numbers = [&] {
     std::vector<int> found;
+    found.reserve(8);
     const Json events =
         Exchange(fleet.Runner(0), "GET", "/v1/cache_events/0").Document();
     for (const Json& event : events) {
