--- a/daemon/rosemaryhookd.cc
+++ b/daemon/rosemaryhookd.cc
@@ -1,6 +1,8 @@
 // The daemon that runs on each entry host.
 //
 //   rosemaryhookd --settings host.yaml [--check]
+//
+// Without --settings, the file is the one that ROSEMARYHOOK_CONFIG names.
 #include <fmt/core.h>
 
 #include <CLI/CLI.hpp>
@@ -8,13 +10,16 @@
 #include <cstdlib>
 
 #include "rosemaryhook/daemon.h"
+#include "rosemaryhook/edge_daemon.h"
 #include "rosemaryhook/settings.h"
 
 int main(int argc, char** argv) {
   CLI::App app("Serves callers and dispatches to the backend servers it owns");
   std::string file;
   bool check = false;
-  app.add_option("--settings", file, "YAML file")->required();
+  app.add_option("--settings", file, "YAML file")
+      ->envname("ROSEMARYHOOK_CONFIG")
+      ->required();
   app.add_flag("--check", check, "check the settings and exit");
   CLI11_PARSE(app, argc, argv);
   const auto settings = rosemaryhook::LoadSettings(file);
@@ -26,8 +31,10 @@
     fmt::print("{}: ok\n", file);
     return 0;
   }
-  const int exit_code =
-      rosemaryhook::RunDaemon(std::get<rosemaryhook::Settings>(settings));
+  const auto& read = std::get<rosemaryhook::Settings>(settings);
+  const int exit_code = read.serving == rosemaryhook::ServingMode::kDirect
+                            ? rosemaryhook::RunEdgeDaemon(read, file)
+                            : rosemaryhook::RunDaemon(read);
   // What still waits at this point is not unwound: the process is done.
   std::_Exit(exit_code);
 }
--- /dev/null
+++ b/rosemaryhook/adapter_plan.cc
@@ -0,0 +1,298 @@
+// One order at a time is under way to a runner, and each says how many orders
+// the runner must have accepted before it. An order that arrives late, after
+// another one was accepted, is thereby refused by the runner. An order whose
+// answer is lost leaves the count unknown: the runner is then asked for a
+// report before anything else is ordered.
+#include "rosemaryhook/adapter_plan.h"
+
+#include <algorithm>
+
+#include "rosemaryhook/names.h"
+
+namespace rosemaryhook {
+namespace {
+
+// Callers that wait ask again at shorter intervals than this.
+constexpr Duration kWantedSpan = std::chrono::milliseconds(1500);
+
+// An adapter used within this time is dropped only if nothing else can be.
+constexpr Duration kRecentUse = std::chrono::milliseconds(1500);
+
+// Between telling the hosts that an adapter goes and dropping it: a message
+// between zones and a request on its way.
+constexpr Duration kCloseSpan = std::chrono::milliseconds(4);
+
+// Expected load times, from the platform's engines: from the weight store, and
+// from a copy in the runner's memory. Asked again at the second figure.
+constexpr Duration kColdLoad = std::chrono::milliseconds(255);
+constexpr Duration kWarmLoad = std::chrono::milliseconds(28);
+constexpr Duration kColdAskAgain = std::chrono::milliseconds(30);
+constexpr Duration kWarmAskAgain = std::chrono::milliseconds(12);
+
+// A report shows a state up to this old.
+constexpr Duration kReportLag = std::chrono::milliseconds(500);
+
+// An adapter in use that refused to be dropped is tried again after this.
+constexpr Duration kInUsePause = std::chrono::milliseconds(300);
+
+constexpr NameTable<StepKind, 5> kStepNames{{
+    {StepKind::kReport, "report"},
+    {StepKind::kLoad, "load"},
+    {StepKind::kAskAgain, "ask_again"},
+    {StepKind::kClose, "close"},
+    {StepKind::kUnload, "unload"},
+}};
+
+int CountPhase(const AdapterPlan& plan, PlacePhase phase) {
+  return static_cast<int>(std::count_if(
+      plan.adapters.begin(), plan.adapters.end(),
+      [phase](const auto& e) { return e.second.phase == phase; }));
+}
+
+bool IsHeld(const AdapterPlan& plan, const WaitingAdapter& waiting) {
+  const auto place = plan.adapters.find(waiting.adapter);
+  return place != plan.adapters.end() &&
+         place->second.phase == PlacePhase::kHeld &&
+         place->second.version >= waiting.version;
+}
+
+void DropAnswered(Time now, AdapterPlan* plan) {
+  std::erase_if(plan->waiting, [&](const WaitingAdapter& waiting) {
+    return waiting.until <= now || IsHeld(*plan, waiting);
+  });
+}
+
+// A load or a question for one that is due.
+std::optional<PlanStep> DueQuestion(Time now, const AdapterPlan& plan) {
+  for (const auto& [adapter, place] : plan.adapters) {
+    if (place.phase == PlacePhase::kComing && place.ask_again <= now) {
+      return PlanStep{StepKind::kAskAgain, adapter, place.version};
+    }
+    if (place.phase == PlacePhase::kClosing && place.ask_again <= now) {
+      return PlanStep{StepKind::kUnload, adapter, place.version};
+    }
+  }
+  return std::nullopt;
+}
+
+// The adapter to drop: out of date ones first, then the longest unused.
+std::string Victim(Time now, const AdapterPlan& plan) {
+  std::string victim;
+  Time oldest = Time::max();
+  for (const auto& [adapter, place] : plan.adapters) {
+    const bool may_go = place.phase == PlacePhase::kHeld &&
+                        place.ask_again <= now &&
+                        now - place.last_used >= kRecentUse;
+    const bool is_wanted =
+        std::any_of(plan.waiting.begin(), plan.waiting.end(),
+                    [&name = adapter](const WaitingAdapter& waiting) {
+                      return waiting.adapter == name;
+                    });
+    if (may_go && !is_wanted && place.last_used < oldest) {
+      victim = adapter;
+      oldest = place.last_used;
+    }
+  }
+  return victim;
+}
+
+std::optional<PlanStep> DueLoad(Time now, AdapterPlan* plan) {
+  if (CountPhase(*plan, PlacePhase::kComing) >= kLoadsAtOnce) {
+    return std::nullopt;
+  }
+  for (const WaitingAdapter& waiting : plan->waiting) {
+    const auto place = plan->adapters.find(waiting.adapter);
+    if (place != plan->adapters.end()) {
+      if (place->second.phase == PlacePhase::kHeld) {
+        // Held at an older version: the load replaces it in its place.
+        return PlanStep{StepKind::kLoad, waiting.adapter, waiting.version};
+      }
+      continue;
+    }
+    if (static_cast<int>(plan->adapters.size()) < plan->places) {
+      return PlanStep{StepKind::kLoad, waiting.adapter, waiting.version};
+    }
+    // Each adapter that is about to go makes room for one that waits.
+    if (CountPhase(*plan, PlacePhase::kClosing) >=
+        kLoadsAtOnce - CountPhase(*plan, PlacePhase::kComing)) {
+      return std::nullopt;
+    }
+    const std::string victim = Victim(now, *plan);
+    if (!victim.empty()) {
+      return PlanStep{StepKind::kClose, victim, 0};
+    }
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+bool IsWarm(const AdapterPlan& plan, const std::string& adapter) {
+  return plan.held_before.contains(adapter);
+}
+
+void NoteLoadResult(const PlanStep& step,
+                    OrderResult result,
+                    Time now,
+                    AdapterPlan* plan) {
+  if (result == OrderResult::kConflict || result == OrderResult::kNoAnswer) {
+    plan->is_known = false;
+    plan->report_due = now + kReportLag;
+    return;
+  }
+  AdapterPlace& place = plan->adapters[step.adapter];
+  if (step.kind == StepKind::kLoad && result == OrderResult::kUnderWay) {
+    ++plan->order_count;
+    const bool is_warm = IsWarm(*plan, step.adapter);
+    place.phase = PlacePhase::kComing;
+    place.version = step.version;
+    place.ordered = now;
+    place.last_used = now;
+    place.ask_again = now + (is_warm ? kWarmLoad : kColdLoad);
+    return;
+  }
+  if (result == OrderResult::kUnderWay) {
+    place.ask_again =
+        now + (now - place.ordered < kColdLoad ? kWarmAskAgain : kColdAskAgain);
+    return;
+  }
+  place.phase = PlacePhase::kHeld;
+  place.version = std::max(place.version, step.version);
+  place.last_used = now;
+  place.ask_again = now;
+  plan->held_before[step.adapter] = now;
+}
+
+void NoteUnloadResult(const PlanStep& step,
+                      OrderResult result,
+                      Time now,
+                      AdapterPlan* plan) {
+  if (result == OrderResult::kHolds || result == OrderResult::kUnderWay) {
+    ++plan->order_count;
+    plan->adapters.erase(step.adapter);
+    return;
+  }
+  AdapterPlace& place = plan->adapters[step.adapter];
+  place.phase = PlacePhase::kHeld;
+  place.last_used = now;
+  place.ask_again = now + kInUsePause;
+  if (result == OrderResult::kNoAnswer) {
+    plan->is_known = false;
+    plan->report_due = now + kReportLag;
+  }
+}
+
+}  // namespace
+
+std::string_view StepKindName(StepKind kind) {
+  return NameOf(kStepNames, kind);
+}
+
+void NoteWanted(const std::string& adapter,
+                int64_t version,
+                Time now,
+                AdapterPlan* plan) {
+  for (WaitingAdapter& waiting : plan->waiting) {
+    if (waiting.adapter == adapter) {
+      waiting.version = std::max(waiting.version, version);
+      waiting.until = now + kWantedSpan;
+      return;
+    }
+  }
+  plan->waiting.push_back({adapter, version, now, now + kWantedSpan});
+}
+
+void NoteUsed(const std::string& adapter, Time now, AdapterPlan* plan) {
+  const auto place = plan->adapters.find(adapter);
+  if (place != plan->adapters.end()) {
+    place->second.last_used = now;
+  }
+}
+
+std::optional<PlanStep> NextStepOf(Time now, AdapterPlan* plan) {
+  if (!plan->is_known) {
+    if (now < plan->report_due) {
+      return std::nullopt;
+    }
+    return PlanStep{StepKind::kReport, "", 0};
+  }
+  DropAnswered(now, plan);
+  if (auto question = DueQuestion(now, *plan)) {
+    return question;
+  }
+  auto step = DueLoad(now, plan);
+  if (step && step->kind == StepKind::kClose) {
+    AdapterPlace& place = plan->adapters[step->adapter];
+    place.phase = PlacePhase::kClosing;
+    place.ask_again = now + kCloseSpan;
+  }
+  return step;
+}
+
+Time NextStepTime(const AdapterPlan& plan, Time now) {
+  if (!plan.is_known) {
+    return plan.report_due;
+  }
+  Time next = now + std::chrono::seconds(1);
+  for (const auto& [adapter, place] : plan.adapters) {
+    if (place.phase != PlacePhase::kHeld) {
+      next = std::min(next, place.ask_again);
+    }
+  }
+  if (!plan.waiting.empty()) {
+    // Room may appear as adapters grow idle.
+    next = std::min(next, now + std::chrono::milliseconds(50));
+  }
+  return next;
+}
+
+void NoteOrderResult(const PlanStep& step,
+                     OrderResult result,
+                     Time now,
+                     AdapterPlan* plan) {
+  if (step.kind == StepKind::kUnload) {
+    NoteUnloadResult(step, result, now, plan);
+  } else {
+    NoteLoadResult(step, result, now, plan);
+  }
+}
+
+void NoteReport(const RunnerReport& report, Time now, AdapterPlan* plan) {
+  plan->is_known = true;
+  plan->order_count = report.order_count;
+  std::map<std::string, AdapterPlace> adapters;
+  const auto add = [&](const std::string& adapter, int64_t version,
+                       PlacePhase phase) {
+    const auto old = plan->adapters.find(adapter);
+    AdapterPlace place;
+    if (old != plan->adapters.end()) {
+      place = old->second;
+    } else {
+      place.last_used = now;
+      place.ordered = now;
+    }
+    place.phase = phase;
+    place.version = version;
+    place.ask_again = now;
+    adapters[adapter] = place;
+  };
+  for (const auto& [adapter, version] : report.adapters) {
+    add(adapter, version, PlacePhase::kHeld);
+    plan->held_before[adapter] = now;
+  }
+  for (const auto& [adapter, version] : report.coming) {
+    add(adapter, version, PlacePhase::kComing);
+  }
+  plan->adapters = std::move(adapters);
+}
+
+HeldAdapters UsableAdapters(const AdapterPlan& plan) {
+  HeldAdapters held;
+  for (const auto& [adapter, place] : plan.adapters) {
+    if (place.phase == PlacePhase::kHeld) {
+      held[adapter] = place.version;
+    }
+  }
+  return held;
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/adapter_plan.h
@@ -0,0 +1,101 @@
+// The owner's plan for one runner: which adapters it holds, which order comes
+// next.
+//
+//   NoteWanted(adapter, version, now, &plan);     // a request waits for it
+//   if (auto order = NextOrder(now, &plan)) ... send it ...
+//   NoteOrderAnswer(*order, answer, now, &plan);
+//
+// Load patterns: popularity shifts and rare adapters asked for at once. Loads
+// go in the order in which they were first asked for, several at once; room is
+// made by dropping what has been unused longest. A place counts as taken from
+// the moment a load was sent until the runner said that the adapter is gone, so
+// a runner is never ordered to hold more than it can.
+//
+// Cost: O(places) for each call. Memory: O(places + waiting adapters).
+#ifndef ROSEMARYHOOK_ADAPTER_PLAN_H_
+#define ROSEMARYHOOK_ADAPTER_PLAN_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "rosemaryhook/runner_entry.h"
+#include "rosemaryhook/time.h"
+
+namespace rosemaryhook {
+
+// Loads that one runner carries out at once; from the platform's engines.
+constexpr int kLoadsAtOnce = 4;
+
+enum class PlacePhase { kHeld, kComing, kClosing };
+
+struct AdapterPlace {
+  PlacePhase phase = PlacePhase::kHeld;
+  int64_t version = 0;
+  Time last_used;
+  Time ordered;    // when its load was sent
+  Time ask_again;  // when to ask whether it has come; or to drop it
+};
+
+struct WaitingAdapter {
+  std::string adapter;
+  int64_t version = 0;
+  Time since;
+  Time until;  // nobody waits for it after this
+};
+
+struct AdapterPlan {
+  int places = 0;
+  bool is_known = false;    // a report has been taken in
+  Time report_due;          // when to ask for one, if not known
+  int64_t order_count = 0;  // orders that the runner accepted
+  std::map<std::string, AdapterPlace> adapters;
+  std::deque<WaitingAdapter> waiting;
+  // Adapters that the runner held before: copies in its memory load fast.
+  std::map<std::string, Time> held_before;
+};
+
+enum class StepKind { kReport, kLoad, kAskAgain, kClose, kUnload };
+
+std::string_view StepKindName(StepKind kind);
+
+struct PlanStep {
+  StepKind kind = StepKind::kReport;
+  std::string adapter;
+  int64_t version = 0;
+};
+
+// How a runner answered an order.
+enum class OrderResult { kUnderWay, kHolds, kConflict, kNoAnswer };
+
+// A caller waits for `adapter`, at `version` or newer.
+void NoteWanted(const std::string& adapter,
+                int64_t version,
+                Time now,
+                AdapterPlan* plan);
+
+// Requests for `adapter` were sent to the runner.
+void NoteUsed(const std::string& adapter, Time now, AdapterPlan* plan);
+
+// The next step that is due at `now`, and marks it as being taken.
+std::optional<PlanStep> NextStepOf(Time now, AdapterPlan* plan);
+
+// When a step may be due next without any event.
+Time NextStepTime(const AdapterPlan& plan, Time now);
+
+void NoteOrderResult(const PlanStep& step,
+                     OrderResult result,
+                     Time now,
+                     AdapterPlan* plan);
+
+// Takes in a report that the runner made no earlier than the last order.
+void NoteReport(const RunnerReport& report, Time now, AdapterPlan* plan);
+
+// What requests may be sent for: adapters held and not about to go.
+HeldAdapters UsableAdapters(const AdapterPlan& plan);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_ADAPTER_PLAN_H_
--- /dev/null
+++ b/rosemaryhook/deployment.h
@@ -0,0 +1,115 @@
+// What operators want in force on a platform that keeps it in a store: routes,
+// services, customers and the limits on callers.
+//
+//   Deployment deployment = ...;            // filled by a codec
+//   IndexDeployment(&deployment);
+//   const RouteRule* route = FindRoute(deployment, host, path);
+//
+// Pure data and look-ups. FindRoute costs one hash look-up for each segment of
+// the path, whatever the number of routes.
+#ifndef ROSEMARYHOOK_DEPLOYMENT_H_
+#define ROSEMARYHOOK_DEPLOYMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "rosemaryhook/time.h"
+
+namespace rosemaryhook {
+
+// What may be repeated.
+enum class RequestKind { kIdempotent, kNonIdempotent, kStreaming };
+
+std::string_view RequestKindName(RequestKind kind);
+
+struct WeightedService {
+  std::string service;
+  int weight = 1;
+};
+
+struct RouteRule {
+  std::string name;
+  std::string host;
+  std::string prefix;  // begins and ends with a slash
+  RequestKind kind = RequestKind::kNonIdempotent;
+  Duration answer_limit{};  // the longest time that a caller is kept waiting
+  Duration objective{};     // an answer within it is on time
+  int priority = 5;         // 0 is the most urgent
+  int max_attempts = 1;     // backend servers that may run one request
+  bool is_open = false;     // needs no key
+  bool is_resumable = false;
+  std::vector<WeightedService> services;
+  std::vector<std::string> regions;  // empty: any
+};
+
+struct EngineModel {
+  std::string name;
+  double weight_mb = 0;
+  double adapter_mb = 0;
+};
+
+struct EngineRule {
+  std::vector<EngineModel> models;
+  double memory_mb = 0;    // for weights and adapters together
+  int adapter_places = 0;  // adapters that one runner holds at most
+};
+
+struct ServiceRule {
+  std::string name;
+  std::string health_path;
+  int max_connections = 0;  // of one backend server, from all hosts together
+  double cold_per_s = 0;    // requests a second that a cold one bears
+  bool has_engine = false;
+  EngineRule engine;
+};
+
+struct CustomerRule {
+  std::string name;
+  int priority = -1;  // -1: that of the route
+  double rate = 0;    // a second; 0 for no limit
+  double burst = 0;
+  bool counts_tokens = false;
+  double plain_cost = 1;  // of a request that states no tokens
+};
+
+struct CallerLimits {
+  size_t header_bytes = 16 << 10;
+  size_t body_bytes = 4 << 20;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+struct Deployment {
+  int64_t version = 0;
+  std::vector<RouteRule> routes;
+  std::map<std::string, ServiceRule> services;
+  std::map<std::string, CustomerRule> customers;
+  std::unordered_map<std::string, std::string> customer_of_key;
+  CallerLimits limits;
+  // Host, a newline and a prefix -> place in `routes`. See IndexDeployment.
+  std::unordered_map<std::string, size_t> route_index;
+};
+
+// Fills `route_index`.
+void IndexDeployment(Deployment* deployment);
+
+// The route of `host` (without a port, any case) with the longest prefix that
+// begins the path of `target`; nullptr if there is none.
+const RouteRule* FindRoute(const Deployment& deployment,
+                           std::string_view host,
+                           std::string_view target);
+
+// The service of `route` for a request, by weight. `draw` is any hash of the
+// request. Empty if every weight is zero.
+std::string ChooseService(const RouteRule& route, uint64_t draw);
+
+// How many adapters a runner of `engine` can hold beside its models.
+int AdapterPlaces(const EngineRule& engine);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_DEPLOYMENT_H_
--- /dev/null
+++ b/rosemaryhook/edge.cc
@@ -0,0 +1,77 @@
+#include "rosemaryhook/edge.h"
+
+#include <algorithm>
+
+namespace rosemaryhook {
+namespace {
+
+// A host not heard for this long may be cut off and still be spending.
+constexpr Duration kHeardSpan = std::chrono::milliseconds(1500);
+
+// A host not heard for this long has ended; a host that hears nobody cannot
+// conclude that.
+constexpr Duration kEndedSpan = std::chrono::seconds(20);
+
+}  // namespace
+
+Quorum FleetQuorum(const Edge& edge, Time now) {
+  std::map<std::string, Time> newest;  // by address: a restart is no new host
+  for (const auto& [session, host] : edge.hosts) {
+    Time& heard = newest[host.address];
+    heard = std::max(heard, host.heard);
+  }
+  Quorum quorum;
+  int silent = 0;
+  for (const auto& [address, heard] : newest) {
+    if (now - heard < kHeardSpan) {
+      ++quorum.heard;
+    } else if (now - heard < kEndedSpan) {
+      ++silent;
+    }
+  }
+  quorum.hosts = quorum.heard + silent;
+  // Alone among several known addresses: cut off, or just started.
+  if (quorum.heard == 1) {
+    quorum.hosts =
+        std::max(quorum.hosts, static_cast<int>(edge.host_addresses.size()));
+  }
+  return quorum;
+}
+
+void UpdateColdPaces(Edge* edge) {
+  const Time now = Now();
+  std::vector<std::string> hosts{edge->settings.peers};
+  for (const auto& [session, host] : edge->hosts) {
+    if (now - host.heard < kHeardSpan) {
+      hosts.push_back(host.address);
+    }
+  }
+  for (auto& [id, view] : edge->runners) {
+    if (view.cold_until <= now || !edge->deployment) {
+      continue;
+    }
+    const auto service = edge->deployment->services.find(view.entry.service);
+    const double cold_per_s = service == edge->deployment->services.end()
+                                  ? 0
+                                  : service->second.cold_per_s;
+    const Time next = view.cold_pace.next;
+    view.cold_pace = PaceFor(id, cold_per_s, hosts, edge->settings.peers);
+    view.cold_pace.next = next;
+  }
+}
+
+awaitable<void> AwaitRunnerChange(Edge& edge, Time deadline) {
+  Signal changed(edge.io.get_executor());
+  const auto place =
+      edge.runner_waiters.insert(edge.runner_waiters.end(), &changed);
+  co_await changed.Wait(deadline);
+  edge.runner_waiters.erase(place);
+}
+
+void NotifyRunnerChange(Edge* edge) {
+  for (Signal* waiter : edge->runner_waiters) {
+    waiter->Notify();
+  }
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/edge.h
@@ -0,0 +1,120 @@
+// The running parts of a daemon that sends straight to backend servers on a
+// platform which keeps configuration, lists and owners in a store.
+//
+// One thread uses it all. Decisions are free functions over the sections here;
+// the files named edge_*.cc wait, read and write.
+#ifndef ROSEMARYHOOK_EDGE_H_
+#define ROSEMARYHOOK_EDGE_H_
+
+#include <boost/asio.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "rosemaryhook/adapter_plan.h"
+#include "rosemaryhook/deployment.h"
+#include "rosemaryhook/http.h"
+#include "rosemaryhook/metrics.h"
+#include "rosemaryhook/order_rights.h"
+#include "rosemaryhook/peer_message.h"
+#include "rosemaryhook/repeat_limits.h"
+#include "rosemaryhook/runner_choice.h"
+#include "rosemaryhook/settings.h"
+#include "rosemaryhook/signal.h"
+#include "rosemaryhook/store.h"
+#include "rosemaryhook/suspects.h"
+#include "rosemaryhook/token_limits.h"
+
+namespace rosemaryhook {
+
+// A loop's contact with the store, for logs and for judging gaps.
+struct StoreContact {
+  Time answered;  // the newest answer
+  Time regained;  // when it answered again after a gap
+  bool is_lost = false;
+};
+
+// A runner that this host owns, and the loop that gives it orders.
+struct OwnedRunner {
+  explicit OwnedRunner(const asio::any_io_executor& executor)
+      : changed(executor) {}
+  AdapterPlan plan;
+  Signal changed;
+  bool is_ended = false;
+};
+
+// Where a load of an adapter was asked for, so that requests wait together.
+struct PendingLoad {
+  std::string runner;
+  Time asked;
+  Time until;  // another runner is tried then
+};
+
+struct Edge {
+  explicit Edge(asio::io_context& context)
+      : io(context),
+        peer_socket(context),
+        tell_signal(context.get_executor()) {}
+
+  asio::io_context& io;
+  Settings settings;
+  std::string settings_file;
+  std::string session;
+  Time started;
+  HttpPool pool;
+  Store store;
+  Metrics metrics;
+  std::shared_ptr<HttpServer> callers;
+  bool is_draining = false;
+  bool is_stopping = false;
+
+  // What operators want.
+  std::shared_ptr<const Deployment> deployment;  // null until one is known
+  std::set<std::string> zones_out;
+  std::map<std::string, int64_t> named_versions;  // adapter -> version
+  int64_t operator_version = 0;                   // of the store
+  StoreContact operator_contact;
+
+  // Backend servers.
+  RunnerViews runners;
+  bool runners_known = false;
+  StoreContact runner_contact;
+  std::map<std::string, PendingLoad> pending_loads;  // by adapter
+
+  // Owners.
+  OrderRights rights;
+  std::map<std::string, std::shared_ptr<OwnedRunner>> owned;
+  StoreContact owner_contact;
+
+  // Other hosts.
+  asio::ip::udp::socket peer_socket;
+  std::map<std::string, HeardHost> hosts;       // by session
+  std::map<std::string, int64_t> peer_numbers;  // by session
+  std::set<std::string> host_addresses;         // all ever known
+  int64_t message_number = 0;
+  std::map<std::string, std::vector<std::string>> used_adapters;  // to tell
+  std::set<std::string> owned_changed;  // runners to tell of
+  Signal tell_signal;                   // wakes the loop that tells the others
+
+  TokenLimits tokens;
+  RepeatLimits repeats;
+  Suspects suspects;
+
+  std::list<Signal*> runner_waiters;  // requests that wait for a runner
+};
+
+// Hosts heard lately, this one included, of all that may be at work.
+Quorum FleetQuorum(const Edge& edge, Time now);
+
+// Recomputes this host's part of the rate of each cold backend server.
+void UpdateColdPaces(Edge* edge);
+
+// Waits until a runner changes or `deadline`.
+awaitable<void> AwaitRunnerChange(Edge& edge, Time deadline);
+void NotifyRunnerChange(Edge* edge);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_EDGE_H_
--- /dev/null
+++ b/rosemaryhook/edge_orders.h
@@ -0,0 +1,41 @@
+// Gives orders to the runners that this host owns.
+#ifndef ROSEMARYHOOK_EDGE_ORDERS_H_
+#define ROSEMARYHOOK_EDGE_ORDERS_H_
+
+#include <memory>
+#include <string>
+
+#include "rosemaryhook/edge.h"
+
+namespace rosemaryhook {
+
+// Starts a loop for each owned runner that has none.
+void StartOwnedRunners(const std::shared_ptr<Edge>& edge);
+
+// A runner began a new life: what was known of it is void.
+void ResetOwnedRunner(const std::string& runner, Edge* edge);
+
+// Follows the configuration.
+void UpdatePlaces(const Edge& edge,
+                  const std::string& runner,
+                  OwnedRunner* owned);
+
+// A newer version of an adapter is to be served. Runners that serve it now load
+// it at once, the others when it is next asked for.
+void NoteNamedVersion(const std::string& adapter,
+                      int64_t version,
+                      Time now,
+                      Edge* edge);
+
+// Wants an adapter on an owned runner. False if this host does not own it.
+bool WantLoad(const LoadWish& wish, Time now, Edge* edge);
+
+// Requests for `adapters` were sent to an owned runner.
+void NoteAdapterUsed(const std::string& runner,
+                     const std::string& adapter,
+                     Time now,
+                     Edge* edge);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_EDGE_ORDERS_H_
--- /dev/null
+++ b/rosemaryhook/edge_peers.h
@@ -0,0 +1,27 @@
+// Talks with the other hosts by datagram.
+#ifndef ROSEMARYHOOK_EDGE_PEERS_H_
+#define ROSEMARYHOOK_EDGE_PEERS_H_
+
+#include <memory>
+
+#include "rosemaryhook/edge.h"
+
+namespace rosemaryhook {
+
+// Binds the port for datagrams, or says why it cannot.
+Result<Done> OpenPeerSocket(Edge* edge);
+
+void StartPeerLoops(const std::shared_ptr<Edge>& edge);
+
+// Takes in what a host said; apart for tests.
+void ApplyPeerMessage(const PeerMessage& message, Time now, Edge* edge);
+
+// Forgets what hosts said that are silent.
+void ExpirePeers(Time now, Edge* edge);
+
+// Asks the owner of a runner to load an adapter there.
+void SendWish(const LoadWish& wish, Edge* edge);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_EDGE_PEERS_H_
--- /dev/null
+++ b/rosemaryhook/edge_requests.cc
@@ -0,0 +1,417 @@
+// The stages of a request: what it is for (Prepare), whether its customer has
+// the tokens (SpendTokens), which runner (PickRunner), an attempt there
+// (AttemptCall), what follows from how that ended (DecideNext).
+#include "rosemaryhook/edge_requests.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "rosemaryhook/edge_call.h"
+#include "rosemaryhook/edge_peers.h"
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+using EdgePtr = std::shared_ptr<Edge>;
+
+// Crashes after which a request is refused: the platform allows three retries
+// of a request that crashes what runs it.
+constexpr int kCrashesToRefuse = 3;
+
+// A caller that is told to come back does so after this at the earliest; about
+// what the load of an adapter or a few answers take.
+constexpr Duration kShortReturn = std::chrono::milliseconds(300);
+constexpr Duration kLongReturn = std::chrono::seconds(1);
+constexpr Duration kCrasherReturn = std::chrono::seconds(30);
+
+// Looks for a runner again at least this often while waiting.
+constexpr Duration kPickInterval = std::chrono::milliseconds(100);
+constexpr Duration kPacedInterval = std::chrono::milliseconds(15);
+
+// A load is asked for again after this, in case the datagram was lost, and
+// elsewhere if it has not come after kLoadLimit.
+constexpr Duration kAskAgain = std::chrono::milliseconds(200);
+constexpr Duration kLoadLimit = std::chrono::milliseconds(1500);
+constexpr size_t kMaxPendingLoads = 2000;
+
+// Part of a caller's time that a request may wait before it is first sent.
+constexpr double kWaitPart = 0.5;
+
+struct EdgeRefusal {
+  int status = 503;
+  std::string code;
+  std::optional<Duration> retry_after;
+};
+
+EdgeRefusal Refuse(int status,
+                   std::string code,
+                   std::optional<Duration> retry_after = std::nullopt) {
+  return {status, std::move(code), retry_after};
+}
+
+void LogEnd(const EdgeCall& call,
+            const char* event,
+            int status,
+            const std::string& why) {
+  const Time now = Now();
+  Log(event, {{"id", call.headers.request_id},
+              {"route", call.route == nullptr ? "" : call.route->name},
+              {"customer", call.customer},
+              {"adapter", call.headers.adapter},
+              {"status", status},
+              {"runner", call.last_runner},
+              {"sends", call.sends},
+              {"ms", Millis(now - call.arrived)},
+              {"left_ms", Millis(call.deadline - now)},
+              {"version", call.deployment ? call.deployment->version : 0},
+              {"why", why}});
+  call.edge->metrics.Count("requests_total",
+                           "status=\"" + std::to_string(status) + "\"");
+  call.edge->metrics.Observe(
+      "request_seconds",
+      std::chrono::duration<double>(now - call.arrived).count());
+}
+
+awaitable<void> SendRefusal(EdgeCall& call, const EdgeRefusal& refusal) {
+  LogEnd(call, "refused", refusal.status, refusal.code);
+  co_await call.reply.Send(
+      refusal.status,
+      platform::RefusalHeaders(call.headers.request_id, refusal.retry_after),
+      refusal.code + "\n");
+}
+
+std::string Fingerprint(const EdgeCall& call) {
+  // Requests without a body are alike by nature, so they are not compared.
+  if (call.request.body.empty()) {
+    return {};
+  }
+  const std::string text =
+      call.customer + "\n" + call.request.target + "\n" + call.request.body;
+  return std::to_string(XXH3_64bits(text.data(), text.size()));
+}
+
+bool IsCrasher(const EdgeCall& call) {
+  return !call.fingerprint.empty() &&
+         CrashCount(call.edge->suspects, call.fingerprint, Now()) >=
+             kCrashesToRefuse;
+}
+
+std::optional<EdgeRefusal> FindCustomer(EdgeCall* call) {
+  const Deployment& deployment = *call->deployment;
+  call->urgency = std::clamp(call->route->priority, 0, 9);
+  if (call->route->is_open || deployment.customers.empty()) {
+    return std::nullopt;
+  }
+  const auto customer = deployment.customer_of_key.find(call->headers.key);
+  if (call->headers.key.empty() ||
+      customer == deployment.customer_of_key.end()) {
+    return Refuse(401, "unknown_key");
+  }
+  call->customer = customer->second;
+  const int priority = deployment.customers.at(call->customer).priority;
+  if (priority >= 0) {
+    call->urgency = std::min(priority, 9);
+  }
+  return std::nullopt;
+}
+
+std::optional<EdgeRefusal> FindService(EdgeCall* call) {
+  const uint64_t draw = XXH3_64bits(call->headers.request_id.data(),
+                                    call->headers.request_id.size());
+  const std::string name = ChooseService(*call->route, draw);
+  const auto service = call->deployment->services.find(name);
+  if (service == call->deployment->services.end()) {
+    return Refuse(503, "no_service", kLongReturn);
+  }
+  call->service = &service->second;
+  return std::nullopt;
+}
+
+// What the request is for, or why it is refused.
+std::optional<EdgeRefusal> Prepare(EdgeCall* call) {
+  Edge& edge = *call->edge;
+  call->headers = platform::ParseCallerHeaders(call->request);
+  call->deployment = edge.deployment;
+  if (!call->deployment) {
+    return Refuse(503, "no_configuration", kShortReturn);
+  }
+  if (call->headers.request_id.empty()) {
+    return Refuse(400, "no_request_id");
+  }
+  call->route = FindRoute(*call->deployment, HeaderOf(call->request, "Host"),
+                          call->request.target);
+  if (call->route == nullptr) {
+    return Refuse(404, "no_route");
+  }
+  if (auto refusal = FindCustomer(call)) {
+    return refusal;
+  }
+  if (auto refusal = FindService(call)) {
+    return refusal;
+  }
+  const Duration limit = call->route->answer_limit > Duration::zero()
+                             ? call->route->answer_limit
+                             : edge.settings.answer_limit;
+  call->deadline =
+      call->arrived + std::min(limit, call->headers.time_left.value_or(limit));
+  call->fingerprint = Fingerprint(*call);
+  if (IsCrasher(*call)) {
+    return Refuse(503, "crashes_runners", kCrasherReturn);
+  }
+  return std::nullopt;
+}
+
+std::optional<EdgeRefusal> Admit(const EdgeCall& call) {
+  const auto customer = call.deployment->customers.find(call.customer);
+  if (customer == call.deployment->customers.end()) {
+    return std::nullopt;
+  }
+  const double cost =
+      TokenCost(customer->second, call.headers.states_tokens,
+                call.headers.prompt_tokens, call.headers.output_tokens);
+  const Time now = Now();
+  const TokenDecision decision =
+      SpendTokens(customer->second, cost, FleetQuorum(*call.edge, now), now,
+                  &call.edge->tokens);
+  if (decision.admitted) {
+    return std::nullopt;
+  }
+  return Refuse(429, "over_rate", std::max(decision.retry_after, kShortReturn));
+}
+
+WantedRunner WantedFor(const EdgeCall& call) {
+  const Edge& edge = *call.edge;
+  WantedRunner wanted;
+  wanted.service = call.service->name;
+  wanted.zone = edge.settings.zone;
+  wanted.has_engine = call.service->has_engine;
+  wanted.tried = call.tried;
+  wanted.zones_out = &edge.zones_out;
+  if (wanted.has_engine) {
+    wanted.adapter = call.headers.adapter;
+    const auto version = edge.named_versions.find(wanted.adapter);
+    if (version != edge.named_versions.end()) {
+      wanted.adapter_version = version->second;
+    }
+  }
+  wanted.affinity = call.headers.prompt.empty() ? call.headers.request_id
+                                                : call.headers.prompt.front();
+  const auto pending = edge.pending_loads.find(wanted.adapter);
+  if (pending != edge.pending_loads.end() && Now() >= pending->second.until) {
+    wanted.failed_home = pending->second.runner;
+  }
+  return wanted;
+}
+
+// Asks for an adapter once for all requests that wait for it.
+void AskForLoad(const std::string& key,
+                const std::string& runner,
+                const WantedRunner& wanted,
+                Edge* edge) {
+  const Time now = Now();
+  if (edge->pending_loads.size() > kMaxPendingLoads) {
+    std::erase_if(edge->pending_loads, [now](const auto& entry) {
+      return entry.second.until <= now;
+    });
+  }
+  PendingLoad& pending = edge->pending_loads[key];
+  const auto view = edge->runners.find(pending.runner);
+  const bool is_standing = now < pending.until && view != edge->runners.end() &&
+                           IsUsable(view->second, wanted);
+  if (!is_standing) {
+    pending = {runner, Time(), now + kLoadLimit};
+  }
+  if (now - pending.asked < kAskAgain) {
+    return;
+  }
+  pending.asked = now;
+  SendWish({pending.runner, wanted.adapter, wanted.adapter_version}, edge);
+}
+
+// The runner to send to, after waiting for one that holds the adapter. Empty if
+// none can serve the request in time.
+awaitable<std::string> PickRunner(EdgeCall& call) {
+  Edge& edge = *call.edge;
+  const auto span = std::chrono::duration<double>(call.deadline - call.arrived);
+  const Time wait_until =
+      call.arrived +
+      Duration(static_cast<int64_t>(span.count() * kWaitPart * 1e6));
+  while (!call.is_gone) {
+    const Time now = Now();
+    const WantedRunner wanted = WantedFor(call);
+    const RunnerChoice choice = ChooseRunner(edge.runners, wanted, now);
+    if (choice.runner != nullptr && choice.is_resident) {
+      if (choice.copy_to != nullptr) {
+        AskForLoad(wanted.adapter + " copy", choice.copy_to->entry.id, wanted,
+                   &edge);
+      }
+      edge.pending_loads.erase(wanted.adapter);
+      co_return choice.runner->entry.id;
+    }
+    if (choice.usable == 0 || now >= wait_until) {
+      call.last_why = choice.usable == 0 ? "no_runner" : "no_runner_in_time";
+      co_return std::string();
+    }
+    if (choice.runner != nullptr) {
+      AskForLoad(wanted.adapter, choice.runner->entry.id, wanted, &edge);
+    }
+    const Duration pause = choice.is_paced ? kPacedInterval : kPickInterval;
+    co_await AwaitRunnerChange(edge, std::min(now + pause, wait_until));
+  }
+  co_return std::string();
+}
+
+// What follows an attempt.
+enum class NextStep { kDone, kAgain, kGiveUp };
+
+bool MayTryAgain(const EdgeCall& call) {
+  const Time now = Now();
+  return !call.is_gone && now < call.deadline &&
+         MayRepeat(call.service->name, call.edge->settings.repeats,
+                   FleetQuorum(*call.edge, now).hosts, now, call.edge->repeats);
+}
+
+NextStep DecideNext(const EdgeCall& call, const AttemptOutcome& outcome) {
+  switch (outcome.end) {
+    case AttemptEnd::kAnswered:
+      return NextStep::kDone;
+    case AttemptEnd::kNotRun:
+      if (call.sends == 0 && !call.is_gone && Now() < call.deadline) {
+        return NextStep::kAgain;
+      }
+      return MayTryAgain(call) ? NextStep::kAgain : NextStep::kGiveUp;
+    case AttemptEnd::kFailed:
+    case AttemptEnd::kUnknown:
+    case AttemptEnd::kCut: {
+      const bool can_continue =
+          outcome.end != AttemptEnd::kCut ||
+          (!call.events.last_id.empty() && !call.events.is_overlong);
+      return IsRepeatable(*call.route) && can_continue &&
+                     call.runs < call.route->max_attempts && MayTryAgain(call)
+                 ? NextStep::kAgain
+                 : NextStep::kGiveUp;
+    }
+  }
+  return NextStep::kGiveUp;
+}
+
+// The final answer of a request that was not served.
+awaitable<void> GiveUp(EdgeCall& call, AttemptOutcome outcome) {
+  if (call.is_begun) {
+    LogEnd(call, "cut", 0, outcome.why);
+    call.reply.Abort();
+    co_return;
+  }
+  if (outcome.end == AttemptEnd::kFailed) {
+    LogEnd(call, "failed", outcome.head.status, outcome.why);
+    co_await call.reply.Send(outcome.head.status,
+                             platform::CallerAnswerHeaders(outcome.head),
+                             std::move(outcome.body));
+    co_return;
+  }
+  const bool is_late = Now() >= call.deadline;
+  if (outcome.end == AttemptEnd::kNotRun && call.runs == 0) {
+    co_return co_await SendRefusal(
+        call, Refuse(503, outcome.why.empty() ? call.last_why : outcome.why,
+                     kShortReturn));
+  }
+  co_await SendRefusal(call, Refuse(is_late ? 504 : 502, outcome.why));
+}
+
+void NoteEnd(EdgeCall* call,
+             const AttemptOutcome& outcome,
+             const std::string& runner) {
+  Edge& edge = *call->edge;
+  Log("attempt", {{"id", call->headers.request_id},
+                  {"runner", runner},
+                  {"end", AttemptEndName(outcome.end)},
+                  {"why", outcome.why}});
+  if (outcome.lacks_adapter) {
+    edge.runners[runner].held.erase(call->headers.adapter);
+    SendWish({runner, call->headers.adapter, 0}, &edge);
+  } else {
+    call->tried.insert(runner);
+  }
+  const bool may_be_crash = outcome.end == AttemptEnd::kUnknown &&
+                            !call->is_gone && Now() < call->deadline;
+  if (may_be_crash && !call->fingerprint.empty()) {
+    NoteCrash(call->fingerprint, Now(), &edge.suspects);
+  }
+}
+
+awaitable<void> Dispatch(EdgeCall& call) {
+  Edge& edge = *call.edge;
+  AttemptOutcome outcome;
+  while (true) {
+    const std::string runner = co_await PickRunner(call);
+    if (runner.empty()) {
+      co_return co_await GiveUp(call, std::move(outcome));
+    }
+    if (call.sends > 0) {
+      NoteRepeat(call.service->name, Now(), &edge.repeats);
+    }
+    outcome = co_await AttemptCall(call, runner);
+    if (outcome.end != AttemptEnd::kAnswered) {
+      NoteEnd(&call, outcome, runner);
+    }
+    switch (DecideNext(call, outcome)) {
+      case NextStep::kDone:
+        co_return LogEnd(call, "served", 200, call.sends > 1 ? "again" : "");
+      case NextStep::kAgain:
+        continue;
+      case NextStep::kGiveUp:
+        co_return co_await GiveUp(call, std::move(outcome));
+    }
+  }
+}
+
+awaitable<void> ServeCall(EdgePtr edge,
+                          const HttpRequest& request,
+                          HttpReply& reply) {
+  EdgeCall call{edge, request, reply, Now(), Now()};
+  if (edge->is_draining) {
+    reply.CloseAfter();
+  }
+  reply.OnCallerGone([&call] {
+    call.is_gone = true;
+    if (call.exchange != nullptr) {
+      call.exchange->Cancel();
+    }
+    NotifyRunnerChange(call.edge.get());
+  });
+  if (const auto refusal = Prepare(&call)) {
+    co_return co_await SendRefusal(call, *refusal);
+  }
+  NoteFirstSend(call.service->name, call.arrived, &edge->repeats);
+  if (const auto refusal = Admit(call)) {
+    co_return co_await SendRefusal(call, *refusal);
+  }
+  co_await Dispatch(call);
+}
+
+}  // namespace
+
+bool IsReady(const Edge& edge) {
+  return edge.deployment != nullptr && edge.runners_known && !edge.is_draining;
+}
+
+HttpHandler EdgeCallerHandler(EdgePtr edge) {
+  return
+      [edge = std::move(edge)](const HttpRequest& request, HttpReply& reply) {
+        return ServeCall(edge, request, reply);
+      };
+}
+
+HttpHandler EdgeReadinessHandler(EdgePtr edge) {
+  return [edge = std::move(edge)](const HttpRequest& request,
+                                  HttpReply& reply) -> awaitable<void> {
+    const bool is_known = request.target == platform::kReadinessTarget;
+    const int status = !is_known ? 404 : (IsReady(*edge) ? 200 : 503);
+    co_await reply.Send(status, {}, "");
+  };
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/event_cutter.cc
@@ -0,0 +1,73 @@
+// An event ends with an empty line (HTML standard, 9.2.5). Lines end with \n
+// or \r\n.
+#include "rosemaryhook/event_cutter.h"
+
+namespace rosemaryhook {
+namespace {
+
+// One past the end of the first whole event in `text`, npos if there is none.
+size_t EventEnd(std::string_view text) {
+  size_t begin = 0;
+  while (true) {
+    const size_t end = text.find('\n', begin);
+    if (end == std::string_view::npos) {
+      return std::string_view::npos;
+    }
+    const std::string_view line = text.substr(begin, end - begin);
+    if (line.empty() || line == "\r") {
+      return end + 1;
+    }
+    begin = end + 1;
+  }
+}
+
+// The value of the last "id:" line of an event, empty if there is none.
+std::string_view IdOf(std::string_view event) {
+  std::string_view id;
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.starts_with("id:")) {
+      line.remove_prefix(3);
+      if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+      }
+      id = line;
+    }
+    event = end == std::string_view::npos ? std::string_view()
+                                          : event.substr(end + 1);
+  }
+  return id;
+}
+
+}  // namespace
+
+std::string TakeEvents(std::string_view chunk, EventCutter* cutter) {
+  cutter->partial.append(chunk);
+  size_t taken = 0;
+  while (true) {
+    const std::string_view rest =
+        std::string_view(cutter->partial).substr(taken);
+    const size_t end = EventEnd(rest);
+    if (end == std::string_view::npos) {
+      break;
+    }
+    const std::string_view id = IdOf(rest.substr(0, end));
+    if (!id.empty()) {
+      cutter->last_id = std::string(id);
+    }
+    taken += end;
+  }
+  if (cutter->partial.size() - taken > kMaxEventBytes) {
+    cutter->is_overlong = true;
+    taken = cutter->partial.size();
+  }
+  std::string ready = cutter->partial.substr(0, taken);
+  cutter->partial.erase(0, taken);
+  return ready;
+}
+
+}  // namespace rosemaryhook
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -68,10 +68,19 @@
   // one.
   void Abort();
 
+  // Calls `on_gone` once if the caller closes its connection before the
+  // handler ends; never after. A further request that is sent early ends the
+  // watch.
+  void OnCallerGone(std::function<void()> on_gone);
+
+  // The connection closes after this answer.
+  void CloseAfter() { keep_ = false; }
+
   bool begun() const { return begun_; }
   bool keep() const { return keep_ && ok_; }
 
  private:
+  friend class CallerWatch;
   void ExpireWrites();
 
   beast::tcp_stream* stream_;
@@ -79,6 +88,8 @@
   bool keep_;
   bool begun_ = false;
   bool ok_ = true;
+  std::function<void()> on_gone_;
+  asio::cancellation_signal stop_watch_;
 };
 
 using HttpHandler =
@@ -119,6 +130,7 @@
   Time deadline;              // for the whole exchange
   Duration progress_limit{};  // longest silence, 0 for none but the deadline
   bool fresh_connection = false;  // for calls that may not be repeated
+  Duration connect_limit = std::chrono::seconds(2);
   // Asked once the connection stands, just before the first byte is sent;
   // false ends the exchange with nothing sent. Empty means yes.
   std::function<bool()> may_send;
@@ -132,38 +144,56 @@
 // Idle connections, newest last, by address.
 struct HttpPool {
   struct Idle {
-    std::unique_ptr<beast::tcp_stream> stream;
+    std::shared_ptr<beast::tcp_stream> stream;
     Time until;
   };
   std::map<std::string, std::vector<Idle>> idle;
+  uint64_t opened = 0;  // connections opened
+  uint64_t reused = 0;  // exchanges on a kept connection
 };
 
 // One request and its response.
 class HttpExchange {
  public:
-  explicit HttpExchange(HttpPool* pool) : pool_(pool) {}
+  explicit HttpExchange(HttpPool* pool);
 
   awaitable<Result<HttpHead>> Start(HttpCall call);
 
   // The next part of the body; empty at its end.
   awaitable<Result<std::string>> ReadChunk();
 
+  // Passes over the rest of this answer and reads the head of a further one on
+  // the same connection. For an answer that turns out to be another request's.
+  awaitable<Result<HttpHead>> NextHead();
+
+  // How long the other side keeps the connection when idle, if it said so.
+  void KeepIdleFor(Duration limit) { idle_limit_ = limit; }
+
   // Whether any byte of the request may have reached the other side.
   bool may_have_reached() const { return may_have_reached_; }
 
+  // Whether the request went out on a connection that was kept from before.
+  bool reused() const { return reused_; }
+
   // Closes the connection. Ends a running operation with an error.
   void Cancel();
 
  private:
   awaitable<Result<Done>> Connect();
+  awaitable<Result<Done>> SendRequest();
+  awaitable<Result<HttpHead>> ReadHead();
   void Expire();
+  bool IsReusable() const;
   Error MakeError(Step step, const beast::error_code& ec) const;
 
   HttpPool* pool_;
   HttpCall call_;
-  std::unique_ptr<beast::tcp_stream> stream_;
+  std::shared_ptr<beast::tcp_stream> stream_;
   beast::flat_buffer buffer_;
   std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
+  // Outlives the exchange while a long body is still being sent.
+  std::shared_ptr<struct HttpUpload> upload_;
+  Duration idle_limit_;
   bool may_have_reached_ = false;
   bool reused_ = false;
 };
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -1,6 +1,8 @@
 // Connections are kept per address and used again for calls that may be
 // repeated. A call that may not be repeated opens a fresh connection, because
 // a kept one can have gone silent without either side knowing.
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <array>
 
@@ -11,10 +13,34 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Duration kIdleLimit = std::chrono::seconds(20);
-constexpr Duration kConnectLimit = std::chrono::seconds(2);
 constexpr size_t kMaxIdle = 64;
 constexpr size_t kChunkBytes = 16 << 10;
 
+// A request up to this size fits into the socket's buffer, so sending it does
+// not wait for the other side to read.
+constexpr size_t kUploadAside = 8 << 10;
+
+// A peer that acknowledges nothing for this long is gone: several times the
+// slowest round trip between zones, retransmissions included.
+constexpr int kUnackedLimitMs = 2000;
+
+// Probes tell a silent connection from a slow answer.
+constexpr int kProbeAfterS = 1;
+constexpr int kProbeEveryS = 1;
+constexpr int kProbeCount = 2;
+
+void DetectSilence(tcp::socket* socket) {
+  const int fd = socket->native_handle();
+  const auto set = [fd](int level, int option, int value) {
+    setsockopt(fd, level, option, &value, sizeof value);
+  };
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnackedLimitMs);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterS);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeEveryS);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+}
+
 // Whether a kept connection is still open with nothing to read. Anything to
 // read, its end included, means that the other side is done with it.
 bool IsQuiet(tcp::socket* socket) {
@@ -25,7 +51,7 @@
   return ec == asio::error::would_block;
 }
 
-std::unique_ptr<beast::tcp_stream> TakeIdle(HttpPool* pool,
+std::shared_ptr<beast::tcp_stream> TakeIdle(HttpPool* pool,
                                             const std::string& address) {
   const auto found = pool->idle.find(address);
   if (found == pool->idle.end()) {
@@ -38,11 +64,37 @@
   }
   auto stream = std::move(idle.back().stream);
   idle.pop_back();
-  return IsQuiet(&stream->socket()) ? std::move(stream) : nullptr;
+  if (!IsQuiet(&stream->socket())) {
+    return nullptr;
+  }
+  ++pool->reused;
+  return stream;
 }
 
 }  // namespace
 
+// A request on its way. A long body is sent while the answer is awaited, since
+// the other side may answer before it has read it.
+struct HttpUpload {
+  http::request<http::string_body> request;
+  std::shared_ptr<beast::tcp_stream> stream;
+  bool is_done = false;
+};
+
+namespace {
+
+awaitable<void> Upload(std::shared_ptr<HttpUpload> upload) {
+  auto [ec, n] =
+      co_await http::async_write(*upload->stream, upload->request, kToTuple);
+  // A failure shows in the answer that does not come.
+  upload->is_done = !ec;
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(HttpPool* pool)
+    : pool_(pool), idle_limit_(kIdleLimit) {}
+
 std::string HeaderOf(const Headers& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
     if (beast::iequals({key.data(), key.size()}, {name.data(), name.size()})) {
@@ -70,32 +122,25 @@
     co_return *error;
   }
   stream_ =
-      std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+      std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
   stream_->expires_after(
-      std::clamp(call_.deadline - Now(), Duration(1), kConnectLimit));
+      std::clamp(call_.deadline - Now(), Duration(1), call_.connect_limit));
   auto [ec] = co_await stream_->async_connect(std::get<tcp::endpoint>(endpoint),
                                               kToTuple);
   if (ec) {
     co_return MakeError(Step::kConnect, ec);
   }
+  ++pool_->opened;
   beast::error_code ignored;
   stream_->socket().set_option(tcp::no_delay(true), ignored);
+  DetectSilence(&stream_->socket());
   co_return Done{};
 }
 
-awaitable<Result<HttpHead>> HttpExchange::Start(HttpCall call) {
-  call_ = std::move(call);
-  if (!call_.fresh_connection) {
-    stream_ = TakeIdle(pool_, call_.address);
-  }
-  reused_ = stream_ != nullptr;
-  if (!stream_) {
-    const auto connected = co_await Connect();
-    if (const Error* error = Failure(connected)) {
-      co_return *error;
-    }
-  }
-  http::request<http::string_body> request;
+awaitable<Result<Done>> HttpExchange::SendRequest() {
+  upload_ = std::make_shared<HttpUpload>();
+  upload_->stream = stream_;
+  auto& request = upload_->request;
   request.method_string(call_.method);
   request.target(call_.target);
   request.version(11);
@@ -110,11 +155,19 @@
     co_return Error{Step::kSend, call_.address, "not allowed to send any more"};
   }
   may_have_reached_ = true;
-  auto [write_ec, written] =
-      co_await http::async_write(*stream_, request, kToTuple);
-  if (write_ec) {
-    co_return MakeError(Step::kSend, write_ec);
+  if (request.body().size() > kUploadAside) {
+    asio::co_spawn(stream_->get_executor(), Upload(upload_), asio::detached);
+    co_return Done{};
   }
+  auto [ec, n] = co_await http::async_write(*stream_, request, kToTuple);
+  if (ec) {
+    co_return MakeError(Step::kSend, ec);
+  }
+  upload_->is_done = true;
+  co_return Done{};
+}
+
+awaitable<Result<HttpHead>> HttpExchange::ReadHead() {
   parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
   parser_->body_limit(boost::none);
   Expire();
@@ -131,6 +184,46 @@
   co_return head;
 }
 
+awaitable<Result<HttpHead>> HttpExchange::Start(HttpCall call) {
+  call_ = std::move(call);
+  if (!call_.fresh_connection) {
+    stream_ = TakeIdle(pool_, call_.address);
+  }
+  reused_ = stream_ != nullptr;
+  if (!stream_) {
+    const auto connected = co_await Connect();
+    if (const Error* error = Failure(connected)) {
+      co_return *error;
+    }
+  }
+  const auto sent = co_await SendRequest();
+  if (const Error* error = Failure(sent)) {
+    co_return *error;
+  }
+  co_return co_await ReadHead();
+}
+
+awaitable<Result<HttpHead>> HttpExchange::NextHead() {
+  std::string chunk(kChunkBytes, '\0');
+  while (!parser_->is_done()) {
+    auto& body = parser_->get().body();
+    body.data = chunk.data();
+    body.size = chunk.size();
+    Expire();
+    auto [ec, n] =
+        co_await http::async_read_some(*stream_, buffer_, *parser_, kToTuple);
+    if (ec && ec != http::error::need_buffer) {
+      co_return MakeError(Step::kReceive, ec);
+    }
+  }
+  co_return co_await ReadHead();
+}
+
+bool HttpExchange::IsReusable() const {
+  return parser_->get().keep_alive() && buffer_.size() == 0 && stream_ &&
+         upload_->is_done && idle_limit_ > Duration::zero();
+}
+
 awaitable<Result<std::string>> HttpExchange::ReadChunk() {
   std::string chunk(kChunkBytes, '\0');
   while (!parser_->is_done()) {
@@ -149,11 +242,11 @@
       co_return chunk;
     }
   }
-  if (parser_->get().keep_alive() && buffer_.size() == 0 && stream_) {
+  if (IsReusable()) {
     auto& idle = pool_->idle[call_.address];
     if (idle.size() < kMaxIdle) {
       stream_->expires_never();
-      idle.push_back({std::move(stream_), Now() + kIdleLimit});
+      idle.push_back({std::move(stream_), Now() + idle_limit_});
     }
   }
   co_return std::string();
--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -80,6 +80,40 @@
   asio::steady_timer timer_;
 };
 
+constexpr std::string_view kHeaderEnd = "\r\n\r\n";
+
+bool HasName(std::string_view line, std::string_view name) {
+  return line.size() > name.size() && line[name.size()] == ':' &&
+         beast::iequals({line.data(), name.size()}, {name.data(), name.size()});
+}
+
+// Whether a header can be read in one way only. Folded lines, a second length
+// or host, and a length beside chunks let two readers disagree on where a
+// request ends (RFC 9112, 5.2 and 6.3). `header` includes the request line.
+bool IsUnambiguous(std::string_view header) {
+  int lengths = 0;
+  int encodings = 0;
+  int hosts = 0;
+  size_t begin = header.find("\r\n") + 2;
+  while (begin < header.size()) {
+    const size_t end = header.find("\r\n", begin);
+    const std::string_view line = header.substr(begin, end - begin);
+    begin = end + 2;
+    if (line.empty()) {
+      break;
+    }
+    if (line.front() == ' ' || line.front() == '\t' ||
+        line.find_first_of(std::string_view("\r\n\0", 3)) !=
+            std::string_view::npos) {
+      return false;
+    }
+    lengths += HasName(line, "Content-Length") ? 1 : 0;
+    encodings += HasName(line, "Transfer-Encoding") ? 1 : 0;
+    hosts += HasName(line, "Host") ? 1 : 0;
+  }
+  return lengths + encodings <= 1 && hosts <= 1;
+}
+
 // Waits for the first byte of the next request.
 awaitable<beast::error_code> AwaitFirstByte(const HttpLimits& limits,
                                             beast::tcp_stream* stream,
@@ -99,6 +133,32 @@
                                         beast::flat_buffer* buffer,
                                         Parser* parser) {
   const ReadTimer timer(stream, limits.header_timeout);
+  size_t end = std::string_view::npos;
+  while (true) {
+    const std::string_view seen(static_cast<const char*>(buffer->data().data()),
+                                buffer->size());
+    end = seen.find(kHeaderEnd);
+    if (end != std::string_view::npos) {
+      if (end + kHeaderEnd.size() > limits.header_bytes) {
+        co_return http::error::header_limit;
+      }
+      if (!IsUnambiguous(seen.substr(0, end + kHeaderEnd.size()))) {
+        co_return http::error::bad_field;
+      }
+      break;
+    }
+    if (seen.size() >= limits.header_bytes) {
+      co_return http::error::header_limit;
+    }
+    auto [ec, n] = co_await stream->async_read_some(
+        buffer->prepare(limits.header_bytes - seen.size()), kToTuple);
+    if (ec) {
+      co_return timer.Outcome(
+          ec == asio::error::eof ? make_error_code(http::error::partial_message)
+                                 : ec);
+    }
+    buffer->commit(n);
+  }
   auto [ec, n] =
       co_await http::async_read_header(*stream, *buffer, *parser, kToTuple);
   co_return timer.Outcome(ec);
@@ -145,6 +205,41 @@
   return request;
 }
 
+}  // namespace
+
+// Watches for the end of a caller's connection while a handler runs.
+class CallerWatch {
+ public:
+  static void Start(const std::shared_ptr<HttpReply>& reply) {
+    reply->stream_->socket().async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(
+            reply->stop_watch_.slot(), [reply](beast::error_code ec) {
+              if (!ec && reply->on_gone_ && IsClosed(reply->stream_)) {
+                std::exchange(reply->on_gone_, nullptr)();
+              }
+            }));
+  }
+
+  static void Stop(HttpReply* reply) {
+    reply->on_gone_ = nullptr;
+    reply->stop_watch_.emit(asio::cancellation_type::total);
+  }
+
+ private:
+  static bool IsClosed(beast::tcp_stream* stream) {
+    char byte = 0;
+    beast::error_code ec;
+    auto& socket = stream->socket();
+    socket.non_blocking(true, ec);
+    const size_t n =
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec != asio::error::would_block && (ec || n == 0);
+  }
+};
+
+namespace {
+
 awaitable<void> ServeRequests(std::shared_ptr<HttpServer> server,
                               beast::tcp_stream* stream) {
   beast::flat_buffer buffer;
@@ -164,16 +259,19 @@
     const bool keep = parser.get().keep_alive() && !server->closing;
     const HttpRequest request = TakeRequest(&parser);
     stream->expires_never();
-    HttpReply reply(stream, server->limits, keep);
+    const auto reply =
+        std::make_shared<HttpReply>(stream, server->limits, keep);
+    CallerWatch::Start(reply);
     ++server->active;
     try {
-      co_await server->handler(request, reply);
+      co_await server->handler(request, *reply);
     } catch (const std::exception& e) {
       Log("handler_failed", {{"target", request.target}, {"why", e.what()}});
-      reply.Abort();
+      reply->Abort();
     }
+    CallerWatch::Stop(reply.get());
     --server->active;
-    if (!reply.keep()) {
+    if (!reply->keep()) {
       co_return;
     }
   }
@@ -278,6 +376,10 @@
   co_return ok_;
 }
 
+void HttpReply::OnCallerGone(std::function<void()> on_gone) {
+  on_gone_ = std::move(on_gone);
+}
+
 void HttpReply::Abort() {
   ok_ = false;
   stream_->close();
--- a/rosemaryhook/log.cc
+++ b/rosemaryhook/log.cc
@@ -1,9 +1,11 @@
 #include "rosemaryhook/log.h"
 
+#include <fcntl.h>
 #include <fmt/core.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <cstdio>
+#include <map>
 
 #include "rosemaryhook/time.h"
 
@@ -12,6 +14,33 @@
 
 std::string log_host;
 
+// Lines of one event in the present second.
+struct LineCount {
+  int64_t second = 0;
+  int lines = 0;
+  int64_t left_out = 0;  // since the last line that was written
+};
+
+std::map<std::string, LineCount, std::less<>> line_counts;
+
+// Whether a line of `event` may be written now.
+LineCount* TakeLine(std::string_view event, int64_t second) {
+  auto found = line_counts.find(event);
+  if (found == line_counts.end()) {
+    found = line_counts.emplace(event, LineCount()).first;
+  }
+  LineCount& count = found->second;
+  if (count.second != second) {
+    count.second = second;
+    count.lines = 0;
+  }
+  if (++count.lines > kLogLinesPerSecond) {
+    ++count.left_out;
+    return nullptr;
+  }
+  return &count;
+}
+
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
            return c == ' ' || c == '"' || c == '=' || c == '\\' ||
@@ -54,9 +83,26 @@
   return line;
 }
 
+void StartLogging() {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 void Log(std::string_view event, std::initializer_list<LogField> fields) {
-  fmt::print(stderr, "ms={} host={} {}\n", WallMillis(), log_host,
-             FormatLogLine(event, fields));
+  constexpr int64_t kMillisPerSecond = 1000;
+  const int64_t ms = WallMillis();
+  LineCount* count = TakeLine(event, ms / kMillisPerSecond);
+  if (count == nullptr) {
+    return;
+  }
+  std::string line = fmt::format("ms={} host={} {}", ms, log_host,
+                                 FormatLogLine(event, fields));
+  if (count->left_out > 0) {
+    line += fmt::format(" left_out={}", count->left_out);
+  }
+  line.push_back('\n');
+  const ssize_t written = write(STDOUT_FILENO, line.data(), line.size());
+  count->left_out = written < 0 ? count->left_out + 1 : 0;
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/log.h
+++ b/rosemaryhook/log.h
@@ -1,7 +1,11 @@
-// One key=value line on standard error for each event and each decision.
+// One key=value line on standard output for each event and each decision.
 //
 //   Log("route", {{"customer", name}, {"backend", id}, {"why", "resident"}});
 //
+// At most kLogLinesPerSecond lines of one event are written in a second; the
+// next line of the event says how many were left out. A line that standard
+// output cannot take at once is dropped and counted too: writing never blocks.
+//
 // Values that hold spaces, quotes or control characters are quoted and
 // escaped, so a line can always be split again.
 #ifndef ROSEMARYHOOK_LOG_H_
@@ -14,6 +18,8 @@
 
 namespace rosemaryhook {
 
+constexpr int kLogLinesPerSecond = 50;
+
 struct LogField {
   template <std::integral T>
   LogField(std::string_view k, T v) : key(k), value(std::to_string(v)) {}
@@ -28,6 +34,9 @@
 // Names the process in every later line ("host=entry-1").
 void SetLogHost(std::string_view host);
 
+// Makes standard output non-blocking. For daemons; tools write to terminals.
+void StartLogging();
+
 void Log(std::string_view event, std::initializer_list<LogField> fields);
 
 // The text that Log would write after the time stamp; separate for tests.
--- /dev/null
+++ b/rosemaryhook/order_rights.cc
@@ -0,0 +1,158 @@
+// Why two owners never order within the lease: let a row be taken at the
+// store's time t. The old owner's contact rests on an answer that still showed
+// its row, so its question was sent before t, and it orders no later than
+// t + kOrderContact. The new owner's wait begins when it hears that it has the
+// row, after t, and lasts kOrderContact, the lease and a margin. If the old
+// owner's process is known to have ended (the claimant has its address) or has
+// said that it stopped, its contact need not be waited for.
+#include "rosemaryhook/order_rights.h"
+
+#include <algorithm>
+
+#include "rosemaryhook/names.h"
+#include "rosemaryhook/placement.h"
+
+namespace rosemaryhook {
+namespace {
+
+// Hosts hear of each other within this time of starting together.
+constexpr Duration kJoinSpan = std::chrono::milliseconds(1200);
+
+// The next host in the order claims when the one before has not for this long.
+constexpr Duration kRankPause = std::chrono::milliseconds(2500);
+
+// Time for clocks that drift and timers that fire late.
+constexpr Duration kMargin = std::chrono::milliseconds(400);
+
+// Hosts not heard for this long do not take part in the ranking.
+constexpr Duration kHeardSpan = std::chrono::milliseconds(2500);
+
+constexpr NameTable<ClaimReason, 4> kReasonNames{{
+    {ClaimReason::kUnowned, "unowned"},
+    {ClaimReason::kRestarted, "restarted"},
+    {ClaimReason::kOwnerLeft, "owner_left"},
+    {ClaimReason::kOwnerSilent, "owner_silent"},
+}};
+
+// Hosts of the runner's zone come first, then by rendezvous.
+int RankOf(const OrderRights& rights,
+           const OwnableRunner& runner,
+           const std::map<std::string, HeardHost>& hosts,
+           Time now) {
+  const auto key = [&](const std::string& zone, const std::string& address) {
+    return std::pair(zone == runner.zone, RendezvousWeight(runner.id, address));
+  };
+  const auto own = key(rights.zone, rights.address);
+  return static_cast<int>(
+      std::count_if(hosts.begin(), hosts.end(), [&](const auto& entry) {
+        const HeardHost& host = entry.second;
+        return !host.is_leaving && now - host.heard < kHeardSpan &&
+               key(host.zone, host.address) > own;
+      }));
+}
+
+// Whether the owner in `row` is surely or probably gone, and how.
+bool IsWithoutOwner(const OrderRights& rights,
+                    const OwnerRow& row,
+                    const std::map<std::string, HeardHost>& hosts,
+                    Time now,
+                    ClaimReason* reason) {
+  if (row.version == 0) {
+    *reason = ClaimReason::kUnowned;
+    return true;
+  }
+  if (row.address == rights.address) {
+    *reason = ClaimReason::kRestarted;
+    return true;
+  }
+  const auto host = hosts.find(row.session);
+  const Time heard = host == hosts.end() ? rights.started : host->second.heard;
+  if (now - heard < kOwnerSilence) {
+    return false;
+  }
+  *reason = host != hosts.end() && host->second.is_leaving
+                ? ClaimReason::kOwnerLeft
+                : ClaimReason::kOwnerSilent;
+  return true;
+}
+
+}  // namespace
+
+std::string_view ClaimReasonName(ClaimReason reason) {
+  return NameOf(kReasonNames, reason);
+}
+
+std::vector<OwnerClaim> PlanOwnerClaims(
+    const std::vector<OwnableRunner>& runners,
+    const std::map<std::string, HeardHost>& hosts,
+    Time now,
+    OrderRights* rights) {
+  std::vector<OwnerClaim> claims;
+  for (const OwnableRunner& runner : runners) {
+    const auto found = rights->rows.find(runner.id);
+    const OwnerRow row =
+        found == rights->rows.end() ? OwnerRow{} : found->second;
+    ClaimReason reason = ClaimReason::kUnowned;
+    if (IsOwn(*rights, runner.id) ||
+        !IsWithoutOwner(*rights, row, hosts, now, &reason)) {
+      rights->unowned_since.erase(runner.id);
+      continue;
+    }
+    const Time since =
+        rights->unowned_since.try_emplace(runner.id, now).first->second;
+    const bool is_own_turn =
+        reason == ClaimReason::kRestarted ||
+        (now - rights->started >= kJoinSpan &&
+         now - since >= kRankPause * RankOf(*rights, runner, hosts, now));
+    if (is_own_turn) {
+      claims.push_back({runner.id, row.version, reason});
+    }
+  }
+  return claims;
+}
+
+void NoteClaimed(const OwnerClaim& claim,
+                 int64_t version,
+                 Time now,
+                 OrderRights* rights) {
+  rights->rows[claim.runner] = {rights->session, rights->address, version};
+  rights->unowned_since.erase(claim.runner);
+  Time from = now;
+  if (claim.reason == ClaimReason::kOwnerLeft) {
+    from = now + rights->lease + kMargin;
+  } else if (claim.reason == ClaimReason::kOwnerSilent) {
+    from = now + kOrderContact + rights->lease + kMargin;
+  }
+  rights->order_from[claim.runner] = from;
+}
+
+void NoteOwnerRow(const std::string& runner,
+                  const OwnerRow& row,
+                  OrderRights* rights) {
+  OwnerRow& known = rights->rows[runner];
+  if (row.version < known.version) {
+    return;
+  }
+  known = row;
+  if (row.session != rights->session) {
+    rights->order_from.erase(runner);
+  }
+}
+
+void NoteContact(Time asked, OrderRights* rights) {
+  rights->contact = std::max(rights->contact, asked);
+}
+
+bool IsOwn(const OrderRights& rights, const std::string& runner) {
+  const auto row = rights.rows.find(runner);
+  return row != rights.rows.end() && row->second.version > 0 &&
+         row->second.session == rights.session;
+}
+
+bool MayOrder(const OrderRights& rights, const std::string& runner, Time now) {
+  const auto from = rights.order_from.find(runner);
+  return IsOwn(rights, runner) && from != rights.order_from.end() &&
+         now >= from->second && now < rights.contact + kOrderContact;
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/peer_message.cc
@@ -0,0 +1,93 @@
+// CBOR with keys of one letter: many small messages make up most of the bytes
+// between zones.
+#include "rosemaryhook/peer_message.h"
+
+namespace rosemaryhook {
+namespace {
+
+Json LoadsToJson(const std::map<std::string, RunnerLoad>& loads) {
+  Json json = Json::object();
+  for (const auto& [runner, load] : loads) {
+    json[runner] =
+        Json::array({load.running, static_cast<int64_t>(load.prompt_tokens)});
+  }
+  return json;
+}
+
+std::map<std::string, RunnerLoad> LoadsFromJson(const Json& json) {
+  std::map<std::string, RunnerLoad> loads;
+  for (const auto& [runner, load] : json.items()) {
+    loads[runner] = {load.at(0).get<int>(), load.at(1).get<double>()};
+  }
+  return loads;
+}
+
+template <typename T>
+T Field(const Json& json, const char* name) {
+  return json.value(name, T());
+}
+
+Json WishesToJson(const std::vector<LoadWish>& wishes) {
+  Json json = Json::array();
+  for (const LoadWish& wish : wishes) {
+    json.push_back(Json::array({wish.runner, wish.adapter, wish.version}));
+  }
+  return json;
+}
+
+PeerMessage DecodeMessage(const Json& json) {
+  PeerMessage message;
+  message.session = json.at("s").get<std::string>();
+  message.address = json.at("a").get<std::string>();
+  message.zone = json.at("z").get<std::string>();
+  message.number = json.at("n").get<int64_t>();
+  message.is_leaving = json.value("l", false);
+  message.spent = Field<std::map<std::string, double>>(json, "t");
+  message.loads = LoadsFromJson(json.value("r", Json::object()));
+  message.used =
+      Field<std::map<std::string, std::vector<std::string>>>(json, "u");
+  message.owned = Field<std::map<std::string, HeldAdapters>>(json, "o");
+  for (const Json& wish : json.value("w", Json::array())) {
+    message.wishes.push_back({wish.at(0).get<std::string>(),
+                              wish.at(1).get<std::string>(),
+                              wish.at(2).get<int64_t>()});
+  }
+  message.suspects = json.value("x", Json::object());
+  return message;
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const PeerMessage& message) {
+  Json json{{"s", message.session},
+            {"a", message.address},
+            {"z", message.zone},
+            {"n", message.number}};
+  const auto add = [&json](const char* name, Json value) {
+    if (!value.empty()) {
+      json[name] = std::move(value);
+    }
+  };
+  if (message.is_leaving) {
+    json["l"] = true;
+  }
+  add("t", message.spent);
+  add("r", LoadsToJson(message.loads));
+  add("u", message.used);
+  add("o", message.owned);
+  add("w", WishesToJson(message.wishes));
+  add("x", message.suspects);
+  std::string bytes;
+  Json::to_cbor(json, bytes);
+  return bytes;
+}
+
+Result<PeerMessage> ParsePeerMessage(const std::string& bytes) {
+  try {
+    return DecodeMessage(Json::from_cbor(bytes));
+  } catch (const Json::exception& e) {
+    return Error{Step::kPeer, "", e.what()};
+  }
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/peer_message.h
@@ -0,0 +1,45 @@
+// What hosts tell each other by datagram.
+//
+// Every figure is a newest value or a total, so a lost, doubled or reordered
+// datagram does no harm beyond its delay.
+#ifndef ROSEMARYHOOK_PEER_MESSAGE_H_
+#define ROSEMARYHOOK_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rosemaryhook/error.h"
+#include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/runner_choice.h"
+
+namespace rosemaryhook {
+
+// A request to the owner of `runner` to load an adapter there.
+struct LoadWish {
+  std::string runner;
+  std::string adapter;
+  int64_t version = 0;
+};
+
+struct PeerMessage {
+  std::string session;
+  std::string address;  // ip:port for datagrams
+  std::string zone;
+  int64_t number = 0;  // grows with each message of the session
+  bool is_leaving = false;
+  std::map<std::string, double> spent;      // customer -> tokens in all
+  std::map<std::string, RunnerLoad> loads;  // runner -> sent by this host
+  std::map<std::string, std::vector<std::string>> used;  // runner -> adapters
+  std::map<std::string, HeldAdapters> owned;  // runner -> usable adapters
+  std::vector<LoadWish> wishes;
+  Json suspects = Json::object();
+};
+
+std::string EncodePeerMessage(const PeerMessage& message);
+Result<PeerMessage> ParsePeerMessage(const std::string& bytes);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_PEER_MESSAGE_H_
--- /dev/null
+++ b/rosemaryhook/repeat_limits.h
@@ -0,0 +1,57 @@
+// How many requests this host may send to a service a second time.
+//
+//   NoteFirstSend("chat", now, &limits);
+//   if (MayRepeat("chat", bounds, hosts, now, limits)) {
+//     NoteRepeat("chat", now, &limits);
+//
+// Load pattern: many backend servers fail or refuse at once, and every host
+// sends again. All hosts share one bound on repeats within any window; each
+// keeps to a part of it that needs no messages: its own requests earn repeats,
+// and the fixed reserve is split evenly.
+//
+// Cost: O(1). Memory: kSlots counts for each service.
+#ifndef ROSEMARYHOOK_REPEAT_LIMITS_H_
+#define ROSEMARYHOOK_REPEAT_LIMITS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "rosemaryhook/time.h"
+
+namespace rosemaryhook {
+
+// The bound over all hosts, from the settings.
+struct RepeatBounds {
+  double share = 0.2;   // repeats for each request
+  double reserve = 50;  // repeats in a window beside that
+  Duration window = std::chrono::seconds(10);
+};
+
+struct RepeatWindow {
+  static constexpr int kSlots = 24;
+  struct Slot {
+    int64_t number = -1;
+    int firsts = 0;
+    int repeats = 0;
+  };
+  std::array<Slot, kSlots> slots;
+};
+
+struct RepeatLimits {
+  std::map<std::string, RepeatWindow> services;
+};
+
+void NoteFirstSend(const std::string& service, Time now, RepeatLimits* limits);
+void NoteRepeat(const std::string& service, Time now, RepeatLimits* limits);
+
+bool MayRepeat(const std::string& service,
+               const RepeatBounds& bounds,
+               int hosts,
+               Time now,
+               const RepeatLimits& limits);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_REPEAT_LIMITS_H_
--- /dev/null
+++ b/rosemaryhook/runner_choice.h
@@ -0,0 +1,90 @@
+// Which backend server a request is sent to.
+//
+//   Choice choice = ChooseRunner(runners, wanted, now);
+//   if (choice.runner == nullptr) ... nothing can serve it now ...
+//   if (!choice.is_resident) ... its adapter is to be loaded there first ...
+//
+// Load patterns: (1) thousands of adapters of skewed popularity for a few
+// places: every host ranks the runners of an adapter alike, so its requests
+// meet where it is held, and one that was dropped returns to the runner that
+// still has a copy in its memory. (2) One adapter takes a fifth of all
+// requests: a runner whose queue of prompts is long gives way to the next in
+// the ranking. (3) A burst on plain services: the least occupied is taken.
+//
+// Pure; cost O(backend servers of the service) for each request.
+#ifndef ROSEMARYHOOK_RUNNER_CHOICE_H_
+#define ROSEMARYHOOK_RUNNER_CHOICE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosemaryhook/runner_entry.h"
+#include "rosemaryhook/runner_health.h"
+#include "rosemaryhook/time.h"
+#include "rosemaryhook/warm_up.h"
+
+namespace rosemaryhook {
+
+// Requests at a backend server.
+struct RunnerLoad {
+  int running = 0;
+  double prompt_tokens = 0;  // of requests without a first token yet
+};
+
+// All that one host knows of a backend server.
+struct RunnerView {
+  RunnerEntry entry;
+  RunnerLoad own;                           // sent by this host
+  std::map<std::string, RunnerLoad> peers;  // by session
+  RunnerHealth health;
+  Time cold_until;
+  ColdPace cold_pace;
+  HeldAdapters held;
+  bool is_owner_heard = false;  // somebody can order loads there now
+  Time owner_heard;             // its newest word on `held`
+  Time gone_at;                 // left the list; Time() while listed
+  Time lapsed_until;  // missing since an outage; gone if still missing then
+};
+
+// Requests of all hosts.
+RunnerLoad TotalLoad(const RunnerView& view);
+
+// Milliseconds that a further request would wait, roughly.
+double WaitEstimate(const RunnerView& view);
+
+struct WantedRunner {
+  std::string service;
+  std::string zone;             // of the asking host
+  std::string adapter;          // empty if none is asked for
+  int64_t adapter_version = 0;  // the least that will do
+  std::string affinity;         // hashed where there is no adapter
+  bool has_engine = false;
+  std::string failed_home;      // was asked to load the adapter and did not
+  std::set<std::string> tried;  // ids, not to be used again
+  const std::set<std::string>* zones_out = nullptr;
+};
+
+// Whether new work may be sent to `view` at all.
+bool IsUsable(const RunnerView& view, const WantedRunner& wanted);
+
+struct RunnerChoice {
+  const RunnerView* runner = nullptr;
+  bool is_resident = false;
+  // Another runner that should get a copy, as those that have one are busy.
+  const RunnerView* copy_to = nullptr;
+  const char* why = "";
+  int usable = 0;
+  bool is_paced = false;  // only cold ones are left, and their rate is used up
+};
+
+using RunnerViews = std::map<std::string, RunnerView>;
+
+RunnerChoice ChooseRunner(const RunnerViews& runners,
+                          const WantedRunner& wanted,
+                          Time now);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_RUNNER_CHOICE_H_
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -11,10 +11,16 @@
 #include <vector>
 
 #include "rosemaryhook/http.h"
+#include "rosemaryhook/names.h"
 
 namespace rosemaryhook {
 namespace {
 
+constexpr NameTable<ServingMode, 2> kServingNames{{
+    {ServingMode::kRelay, "relay"},
+    {ServingMode::kDirect, "direct"},
+}};
+
 // Fills one field of Settings from a scalar; false if the text is unfit.
 using Setter = std::function<bool(const std::string&, Settings*)>;
 
@@ -61,6 +67,19 @@
   };
 }
 
+Setter SetNumber(double RepeatBounds::*member, double low, double high) {
+  return [=](const std::string& text, Settings* settings) {
+    try {
+      size_t end = 0;
+      const double value = std::stod(text, &end);
+      settings->repeats.*member = value;
+      return end == text.size() && value >= low && value <= high;
+    } catch (const std::exception&) {
+      return false;
+    }
+  };
+}
+
 Setter SetBytes(size_t Settings::*member, int64_t low, int64_t high) {
   return [=](const std::string& text, Settings* settings) {
     int64_t value = 0;
@@ -95,6 +114,26 @@
          settings->fault_injection = text == "true";
          return text == "true" || text == "false";
        }},
+      {"serving", "relay or direct", false,
+       [](const std::string& text, Settings* settings) {
+         const auto mode = ValueOf(kServingNames, text);
+         settings->serving = mode.value_or(ServingMode::kRelay);
+         return mode.has_value();
+       }},
+      {"readiness", kAddress, false, SetAddress(&Settings::readiness)},
+      {"order_lease_ms", "milliseconds from 0 to 60000", false,
+       SetMillis(&Settings::order_lease, 0, 60'000)},
+      {"repeat_share", "a number from 0 to 10", false,
+       SetNumber(&RepeatBounds::share, 0, 10)},
+      {"repeat_reserve", "a number from 0 to 1000000", false,
+       SetNumber(&RepeatBounds::reserve, 0, 1e6)},
+      {"repeat_window_ms", "milliseconds from 1000 to 11000", false,
+       [](const std::string& text, Settings* settings) {
+         int64_t value = 0;
+         const bool fits = ParseCount(text, 1'000, 11'000, &value);
+         settings->repeats.window = std::chrono::milliseconds(value);
+         return fits;
+       }},
       {"drain_limit_ms", "milliseconds from 1000 to 3600000", false,
        SetMillis(&Settings::drain_limit, 1'000, 3'600'000)},
   };
@@ -147,11 +186,19 @@
                        "is missing; expected " + field.expected);
     }
   }
+  if (settings.serving == ServingMode::kDirect && settings.readiness.empty()) {
+    return MakeError(file, root.Mark().line + 1, "readiness",
+                     "is missing; expected an address as IP:PORT");
+  }
   return settings;
 }
 
 }  // namespace
 
+std::string_view ServingModeName(ServingMode mode) {
+  return NameOf(kServingNames, mode);
+}
+
 Result<Settings> ParseSettings(const std::string& text,
                                const std::string& file) {
   try {
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -10,10 +10,18 @@
 #include <string>
 
 #include "rosemaryhook/error.h"
+#include "rosemaryhook/repeat_limits.h"
 #include "rosemaryhook/time.h"
 
 namespace rosemaryhook {
 
+// How a daemon serves: through the owner of each backend server, on a platform
+// with a plain table; or straight to backend servers, on a platform that lists
+// them in a store.
+enum class ServingMode { kRelay, kDirect };
+
+std::string_view ServingModeName(ServingMode mode);
+
 struct Settings {
   std::string host;
   std::string zone;
@@ -28,6 +36,12 @@
   Duration heartbeat = std::chrono::seconds(2);
   Duration drain_limit = std::chrono::seconds(60);
   bool fault_injection = false;  // lets tests cut this host from peers
+
+  ServingMode serving = ServingMode::kRelay;
+  std::string readiness;  // ip:port that the balancer asks; kDirect only
+  // Two hosts never give orders to one runner within this.
+  Duration order_lease = std::chrono::seconds(3);
+  RepeatBounds repeats;  // over all hosts
 };
 
 Result<Settings> ParseSettings(const std::string& text,
--- /dev/null
+++ b/rosemaryhook/store.cc
@@ -0,0 +1,136 @@
+#include "rosemaryhook/store.h"
+
+namespace rosemaryhook {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kPreconditionFailed = 412;
+
+Error StatusError(const Store& store, int status) {
+  return Error{Step::kTable, store.address, "status " + std::to_string(status)};
+}
+
+awaitable<Result<HttpAnswer>> Ask(Store store,
+                                  std::string method,
+                                  std::string target,
+                                  std::string body,
+                                  Time deadline) {
+  HttpCall call;
+  call.address = store.address;
+  call.method = std::move(method);
+  call.target = std::move(target);
+  call.body = std::move(body);
+  if (!call.body.empty()) {
+    call.headers.emplace_back("Content-Type", "application/json");
+  }
+  call.deadline = deadline;
+  co_return co_await Fetch(store.pool, std::move(call));
+}
+
+awaitable<WriteOutcome> Write(Store store, std::string body, Time deadline) {
+  auto asked = co_await Ask(store, "POST", platform::kTransactTarget,
+                            std::move(body), deadline);
+  if (const Error* error = Failure(asked)) {
+    co_return *error;
+  }
+  const HttpAnswer& answer = std::get<HttpAnswer>(asked);
+  if (answer.status == kPreconditionFailed) {
+    auto rows = platform::ParseRows(answer.body);
+    if (const Error* error = Failure(rows)) {
+      co_return *error;
+    }
+    co_return ConditionFailed{std::move(std::get<StoreRows>(rows).rows)};
+  }
+  if (answer.status != kOk) {
+    co_return StatusError(store, answer.status);
+  }
+  auto version = platform::ParseCommitted(answer.body);
+  if (const Error* error = Failure(version)) {
+    co_return *error;
+  }
+  co_return Written{std::get<int64_t>(version)};
+}
+
+}  // namespace
+
+awaitable<Result<StoreRows>> ReadRows(Store store,
+                                      std::string table,
+                                      Time deadline) {
+  StoreRows all;
+  std::string from;
+  while (true) {
+    auto asked = co_await Ask(store, "GET", platform::RowsTarget(table, from),
+                              std::string(), deadline);
+    if (const Error* error = Failure(asked)) {
+      co_return *error;
+    }
+    const HttpAnswer& answer = std::get<HttpAnswer>(asked);
+    if (answer.status != kOk) {
+      co_return StatusError(store, answer.status);
+    }
+    auto parsed = platform::ParseRows(answer.body);
+    if (const Error* error = Failure(parsed)) {
+      co_return *error;
+    }
+    StoreRows& page = std::get<StoreRows>(parsed);
+    // Changes are asked for from the first page on, so none is missed between
+    // pages.
+    if (all.rows.empty()) {
+      all.version = page.version;
+    }
+    for (StoreRow& row : page.rows) {
+      if (row.key != from) {
+        all.rows.push_back(std::move(row));
+      }
+    }
+    if (!page.has_more || all.rows.empty()) {
+      co_return all;
+    }
+    from = all.rows.back().key;
+  }
+}
+
+awaitable<ChangesOutcome> ReadChanges(Store store,
+                                      std::string table,
+                                      int64_t after,
+                                      Duration wait,
+                                      Time deadline) {
+  auto asked =
+      co_await Ask(store, "GET", platform::ChangesTarget(table, after, wait),
+                   std::string(), deadline);
+  if (const Error* error = Failure(asked)) {
+    co_return *error;
+  }
+  const HttpAnswer& answer = std::get<HttpAnswer>(asked);
+  if (answer.status == kGone) {
+    co_return HistoryGone{};
+  }
+  if (answer.status != kOk) {
+    co_return StatusError(store, answer.status);
+  }
+  auto parsed = platform::ParseRows(answer.body);
+  if (const Error* error = Failure(parsed)) {
+    co_return *error;
+  }
+  co_return std::move(std::get<StoreRows>(parsed));
+}
+
+awaitable<WriteOutcome> WriteRows(Store store,
+                                  std::string table,
+                                  std::vector<ConditionalPut> puts,
+                                  Time deadline) {
+  std::string body = platform::EncodePuts(table, puts);
+  co_return co_await Write(std::move(store), std::move(body), deadline);
+}
+
+awaitable<WriteOutcome> WriteRow(Store store,
+                                 std::string table,
+                                 std::string key,
+                                 std::string value,
+                                 Time deadline) {
+  std::string body = platform::EncodePlainPut(table, key, value);
+  co_return co_await Write(std::move(store), std::move(body), deadline);
+}
+
+}  // namespace rosemaryhook
--- a/rosemaryhook/suspects.cc
+++ b/rosemaryhook/suspects.cc
@@ -57,6 +57,13 @@
   return suspect != nullptr && suspect->crashes > 0;
 }
 
+int CrashCount(const Suspects& suspects,
+               const std::string& fingerprint,
+               Time now) {
+  const Suspect* suspect = Find(suspects, fingerprint, now);
+  return suspect == nullptr ? 0 : suspect->crashes;
+}
+
 bool IsRefused(const Suspects& suspects,
                const std::string& fingerprint,
                Time now) {
--- a/rosemaryhook/suspects.h
+++ b/rosemaryhook/suspects.h
@@ -44,6 +44,10 @@
 bool IsSuspect(const Suspects& suspects,
                const std::string& fingerprint,
                Time now);
+// Crashes since it last completed, 0 if it is not suspected.
+int CrashCount(const Suspects& suspects,
+               const std::string& fingerprint,
+               Time now);
 bool IsRefused(const Suspects& suspects,
                const std::string& fingerprint,
                Time now);
