Drop only idle adapters and resend unanswered orders

Ruled out: a wrong order count (the counts in the log go on by one for each accepted order). Change: hosts tell owners what runs on each adapter; an adapter counts as used while anything runs on it; a drop under way is waited for; an unanswered order is sent again under the same count after 200 ms.

--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -1,8 +1,9 @@
 // One order at a time is under way to a runner, and each says how many orders
 // the runner must have accepted before it. An order that arrives late, after
-// another one was accepted, is thereby refused by the runner. An order whose
-// answer is lost leaves the count unknown: the runner is then asked for a
-// report before anything else is ordered.
+// another one was accepted, is thereby refused by the runner; so one that was
+// not answered is simply sent again, and whichever comes first is the only one
+// to take effect. If the runner's count is another than the plan's, it refuses,
+// and is asked for a report before anything else is ordered.
 #include "rosemaryhook/adapter_plan.h"
 
 #include <algorithm>
@@ -32,9 +33,21 @@
 // A report shows a state up to this old.
 constexpr Duration kReportLag = std::chrono::milliseconds(500);
 
-// An adapter in use that refused to be dropped is tried again after this.
+// An adapter that could not be dropped is tried again after this.
 constexpr Duration kInUsePause = std::chrono::milliseconds(300);
 
+// While a runner waits to drop an adapter, it is asked this often.
+constexpr Duration kLeavingInterval = std::chrono::milliseconds(100);
+
+// A version is replaced once nothing has run on it for this long: runs report
+// themselves at shorter intervals, and the runner takes no other order while
+// it waits for runs to end.
+constexpr Duration kReplaceAfter = std::chrono::milliseconds(400);
+
+// A report that shows an adapter is believed for this long when requests for
+// it are refused.
+constexpr Duration kBelieveSpan = std::chrono::milliseconds(500);
+
 constexpr NameTable<StepKind, 5> kStepNames{{
     {StepKind::kReport, "report"},
     {StepKind::kLoad, "load"},
@@ -68,7 +81,9 @@
     if (place.phase == PlacePhase::kComing && place.ask_again <= now) {
       return PlanStep{StepKind::kAskAgain, adapter, place.version};
     }
-    if (place.phase == PlacePhase::kClosing && place.ask_again <= now) {
+    const bool is_going = place.phase == PlacePhase::kClosing ||
+                          place.phase == PlacePhase::kLeaving;
+    if (is_going && place.ask_again <= now) {
       return PlanStep{StepKind::kUnload, adapter, place.version};
     }
   }
@@ -97,14 +112,16 @@
 }
 
 std::optional<PlanStep> DueLoad(Time now, AdapterPlan* plan) {
-  if (CountPhase(*plan, PlacePhase::kComing) >= kLoadsAtOnce) {
+  if (CountPhase(*plan, PlacePhase::kComing) >= kLoadsAtOnce ||
+      CountPhase(*plan, PlacePhase::kLeaving) > 0) {
     return std::nullopt;
   }
   for (const WaitingAdapter& waiting : plan->waiting) {
     const auto place = plan->adapters.find(waiting.adapter);
     if (place != plan->adapters.end()) {
-      if (place->second.phase == PlacePhase::kHeld) {
-        // Held at an older version: the load replaces it in its place.
+      // Held at an older version: the load replaces it in its place.
+      if (place->second.phase == PlacePhase::kHeld &&
+          now - place->second.last_used >= kReplaceAfter) {
         return PlanStep{StepKind::kLoad, waiting.adapter, waiting.version};
       }
       continue;
@@ -134,11 +151,14 @@
                     OrderResult result,
                     Time now,
                     AdapterPlan* plan) {
-  if (result == OrderResult::kConflict || result == OrderResult::kNoAnswer) {
+  if (result == OrderResult::kConflict) {
     plan->is_known = false;
     plan->report_due = now + kReportLag;
     return;
   }
+  if (result == OrderResult::kNoAnswer) {
+    return;  // still due
+  }
   AdapterPlace& place = plan->adapters[step.adapter];
   if (step.kind == StepKind::kLoad && result == OrderResult::kUnderWay) {
     ++plan->order_count;
@@ -166,18 +186,27 @@
                       OrderResult result,
                       Time now,
                       AdapterPlan* plan) {
-  if (result == OrderResult::kHolds || result == OrderResult::kUnderWay) {
-    ++plan->order_count;
-    plan->adapters.erase(step.adapter);
-    return;
-  }
   AdapterPlace& place = plan->adapters[step.adapter];
-  place.phase = PlacePhase::kHeld;
-  place.last_used = now;
-  place.ask_again = now + kInUsePause;
-  if (result == OrderResult::kNoAnswer) {
-    plan->is_known = false;
-    plan->report_due = now + kReportLag;
+  const bool is_repeated = place.phase == PlacePhase::kLeaving;
+  switch (result) {
+    case OrderResult::kHolds:
+      plan->order_count += is_repeated ? 0 : 1;
+      plan->adapters.erase(step.adapter);
+      return;
+    case OrderResult::kUnderWay:
+      plan->order_count += is_repeated ? 0 : 1;
+      place.phase = PlacePhase::kLeaving;
+      place.ask_again = now + kLeavingInterval;
+      return;
+    case OrderResult::kConflict:
+      place.phase = PlacePhase::kHeld;
+      place.last_used = now;
+      place.ask_again = now + kInUsePause;
+      plan->is_known = false;
+      plan->report_due = now + kReportLag;
+      return;
+    case OrderResult::kNoAnswer:
+      return;  // still due
   }
 }
 
@@ -201,6 +230,16 @@
   plan->waiting.push_back({adapter, version, now, now + kWantedSpan});
 }
 
+void NoteMissing(const std::string& adapter, Time now, AdapterPlan* plan) {
+  const auto place = plan->adapters.find(adapter);
+  if (plan->is_known && place != plan->adapters.end() &&
+      place->second.phase == PlacePhase::kHeld &&
+      now - place->second.ask_again > kBelieveSpan) {
+    plan->is_known = false;
+    plan->report_due = now;
+  }
+}
+
 void NoteUsed(const std::string& adapter, Time now, AdapterPlan* plan) {
   const auto place = plan->adapters.find(adapter);
   if (place != plan->adapters.end()) {
--- a/rosemaryhook/adapter_plan.h
+++ b/rosemaryhook/adapter_plan.h
@@ -29,7 +29,9 @@
 // Loads that one runner carries out at once; from the platform's engines.
 constexpr int kLoadsAtOnce = 4;
 
-enum class PlacePhase { kHeld, kComing, kClosing };
+// kLeaving: the runner drops it once what runs on it has ended, and takes no
+// other order until then.
+enum class PlacePhase { kHeld, kComing, kClosing, kLeaving };
 
 struct AdapterPlace {
   PlacePhase phase = PlacePhase::kHeld;
@@ -67,7 +69,8 @@
   int64_t version = 0;
 };
 
-// How a runner answered an order.
+// How a runner answered an order. After kNoAnswer the order may have been
+// carried out, or may be later if the runner has accepted no other by then.
 enum class OrderResult { kUnderWay, kHolds, kConflict, kNoAnswer };
 
 // A caller waits for `adapter`, at `version` or newer.
@@ -76,7 +79,11 @@
                 Time now,
                 AdapterPlan* plan);
 
-// Requests for `adapter` were sent to the runner.
+// A runner refused a request because it does not have `adapter`, which the plan
+// may believe that it has.
+void NoteMissing(const std::string& adapter, Time now, AdapterPlan* plan);
+
+// Requests for `adapter` are running on the runner or ended lately.
 void NoteUsed(const std::string& adapter, Time now, AdapterPlan* plan);
 
 // The next step that is due at `now`, and marks it as being taken.
--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -94,7 +94,7 @@
   std::map<std::string, int64_t> peer_numbers;  // by session
   std::set<std::string> host_addresses;         // all ever known
   int64_t message_number = 0;
-  std::map<std::string, std::vector<std::string>> used_adapters;  // to tell
+  std::map<std::string, std::set<std::string>> used_adapters;  // to tell
   std::set<std::string> owned_changed;  // runners to tell of
   Signal tell_signal;                   // wakes the loop that tells the others
 
--- a/rosemaryhook/edge_call.cc
+++ b/rosemaryhook/edge_call.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "rosemaryhook/edge_orders.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/names.h"
 
@@ -37,12 +38,18 @@
 // Counts a request at a backend server while it lives.
 class LoadCount {
  public:
-  LoadCount(RunnerView* view, double prompt_tokens)
-      : view_(view), prompt_tokens_(prompt_tokens) {
+  LoadCount(RunnerView* view, const std::string& adapter, double prompt_tokens)
+      : view_(view), adapter_(adapter), prompt_tokens_(prompt_tokens) {
+    if (!adapter_.empty()) {
+      ++view_->own_adapters[adapter_];
+    }
     ++view_->own.running;
     view_->own.prompt_tokens += prompt_tokens_;
   }
   ~LoadCount() {
+    if (!adapter_.empty() && --view_->own_adapters[adapter_] <= 0) {
+      view_->own_adapters.erase(adapter_);
+    }
     --view_->own.running;
     NoteFirstToken();
   }
@@ -59,6 +66,7 @@
 
  private:
   RunnerView* view_;
+  std::string adapter_;
   double prompt_tokens_;
 };
 
@@ -335,10 +343,11 @@
     NoteColdSend(now, &view->cold_pace);
   }
   if (!call.headers.adapter.empty()) {
-    edge.used_adapters[runner].push_back(call.headers.adapter);
+    edge.used_adapters[runner].insert(call.headers.adapter);
+    NoteAdapterUsed(runner, call.headers.adapter, now, &edge);
   }
   call.last_runner = runner;
-  LoadCount load(view, call.headers.prompt_tokens);
+  LoadCount load(view, call.headers.adapter, call.headers.prompt_tokens);
   HttpExchange exchange(&edge.pool);
   AttemptScope scope(&call, &exchange);
   auto started = co_await exchange.Start(BuildCall(call, *view));
--- a/rosemaryhook/edge_daemon.cc
+++ b/rosemaryhook/edge_daemon.cc
@@ -121,8 +121,10 @@
   Log("drain",
       {{"active", daemon->callers->active}, {"owned", edge->owned.size()}});
   edge->tell_signal.Notify();
+  CloseIdle(daemon->callers.get());
   co_await Sleep(kUnreadyNotice);
   daemon->callers->closing = true;
+  CloseIdle(daemon->callers.get());
   beast::error_code ignored;
   daemon->callers->acceptor->close(ignored);
   while (daemon->callers->active > 0 && Now() < deadline) {
--- a/rosemaryhook/edge_orders.cc
+++ b/rosemaryhook/edge_orders.cc
@@ -15,10 +15,12 @@
 using EdgePtr = std::shared_ptr<Edge>;
 using OwnedPtr = std::shared_ptr<OwnedRunner>;
 
-// A runner answers an order within a few ms; one that does not is asked for a
-// report later.
-constexpr Duration kOrderLimit = std::chrono::milliseconds(800);
-constexpr Duration kOrderConnectLimit = std::chrono::milliseconds(400);
+// A runner answers an order within a few ms. One that is not answered is sent
+// again.
+constexpr Duration kOrderLimit = std::chrono::milliseconds(200);
+
+// Between reports that could not be had.
+constexpr Duration kReportPause = std::chrono::milliseconds(600);
 
 // Adapters used within this time are replaced as soon as a newer version is
 // named.
@@ -60,7 +62,7 @@
   call.address = view.entry.address;
   call.headers = platform::DirectHeaders(runner);
   call.deadline = Now() + kOrderLimit;
-  call.connect_limit = kOrderConnectLimit;
+  call.connect_limit = kOrderLimit;
   call.may_send = [&edge, runner] {
     return MayOrder(edge.rights, runner, Now());
   };
@@ -75,7 +77,7 @@
   const int64_t born_ms = view->entry.born_ms;
   auto fetched = co_await Fetch(&edge->pool, std::move(call));
   const Time now = Now();
-  owned->plan.report_due = now + kOrderLimit;
+  owned->plan.report_due = now + kReportPause;
   if (!IsOk(fetched)) {
     const Error* error = Failure(fetched);
     Log("report_failed",
@@ -254,6 +256,9 @@
   if (owned == edge->owned.end()) {
     return false;
   }
+  if (wish.is_missing) {
+    NoteMissing(wish.adapter, now, &owned->second->plan);
+  }
   NoteWanted(wish.adapter, wish.version, now, &owned->second->plan);
   owned->second->changed.Notify();
   return true;
--- a/rosemaryhook/edge_peers.cc
+++ b/rosemaryhook/edge_peers.cc
@@ -103,6 +103,21 @@
   edge->owned_changed.clear();
 }
 
+void AddUsed(Edge* edge, PeerMessage* message) {
+  message->used.swap(edge->used_adapters);
+  for (const auto& [id, view] : edge->runners) {
+    for (const auto& [adapter, count] : view.own_adapters) {
+      message->used[id].insert(adapter);
+    }
+  }
+  const Time now = Now();
+  for (const auto& [id, adapters] : message->used) {
+    for (const std::string& adapter : adapters) {
+      NoteAdapterUsed(id, adapter, now, edge);
+    }
+  }
+}
+
 bool IsEmpty(const PeerMessage& message) {
   return message.loads.empty() && message.spent.empty() &&
          message.used.empty() && message.owned.empty() &&
@@ -117,7 +132,7 @@
   if (is_tick) {
     AddLoads(*edge, is_full, told, &message);
     AddSpent(*edge, is_full, told, &message);
-    message.used.swap(edge->used_adapters);
+    AddUsed(edge, &message);
     if (is_full || told->suspects != edge->suspects.by_fingerprint.size()) {
       message.suspects = SuspectsToJson(edge->suspects, now);
       told->suspects = edge->suspects.by_fingerprint.size();
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -331,7 +331,7 @@
                   {"why", outcome.why}});
   if (outcome.lacks_adapter) {
     edge.runners[runner].held.erase(call->headers.adapter);
-    SendWish({runner, call->headers.adapter, 0}, &edge);
+    SendWish({runner, call->headers.adapter, 0, true}, &edge);
   } else {
     call->tried.insert(runner);
   }
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -341,9 +341,11 @@
                    {"zone", entry.zone},
                    {"state", entry.is_leaving ? "leaving" : "new"},
                    {"cold_ms", Millis(entry.cold_left)}});
-    const auto own = view.own;
-    view = RunnerView();
-    view.own = own;
+    // Requests under way to the earlier start still count themselves out.
+    RunnerView fresh;
+    fresh.own = view.own;
+    fresh.own_adapters = std::move(view.own_adapters);
+    view = std::move(fresh);
     ResetOwnedRunner(entry.id, edge);
   } else if (entry.is_leaving && !view.entry.is_leaving) {
     Log("runner", {{"id", entry.id}, {"state", "leaving"}});
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -109,8 +110,13 @@
   size_t connections = 0;
   size_t active = 0;  // connections with a request in hand
   bool closing = false;
+  std::set<beast::tcp_stream*> idle;  // that wait for a request's first byte
 };
 
+// Closes the connections that wait for a request. One whose request crosses
+// this is reset, which tells the caller that the request was not read.
+void CloseIdle(HttpServer* server);
+
 // Binds `address` ("ip:port"), or says why it cannot.
 Result<Done> Listen(asio::io_context& io,
                     const std::string& address,
--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -166,13 +166,16 @@
 
 // Reads one request. The header has to arrive within header_timeout of its
 // first byte, the body within the same time again.
-awaitable<beast::error_code> ReadRequest(const HttpLimits& limits,
+awaitable<beast::error_code> ReadRequest(HttpServer* server,
                                          beast::tcp_stream* stream,
                                          beast::flat_buffer* buffer,
                                          Parser* parser) {
+  const HttpLimits& limits = server->limits;
   if (buffer->size() == 0) {
+    server->idle.insert(stream);
     const beast::error_code ec =
         co_await AwaitFirstByte(limits, stream, buffer);
+    server->idle.erase(stream);
     if (ec) {
       co_return ec;
     }
@@ -248,7 +251,7 @@
     parser.body_limit(server->limits.body_bytes);
     parser.header_limit(server->limits.header_bytes);
     const beast::error_code ec =
-        co_await ReadRequest(server->limits, stream, &buffer, &parser);
+        co_await ReadRequest(server.get(), stream, &buffer, &parser);
     if (ec) {
       const bool has_bytes = buffer.size() > 0 || parser.got_some();
       if (const int status = RefusalStatus(ec, has_bytes)) {
@@ -385,6 +388,12 @@
   stream_->close();
 }
 
+void CloseIdle(HttpServer* server) {
+  for (beast::tcp_stream* stream : server->idle) {
+    stream->cancel();
+  }
+}
+
 Result<tcp::endpoint> ParseAddress(const std::string& address) {
   const size_t colon = address.rfind(':');
   beast::error_code ec;
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -30,7 +30,8 @@
 Json WishesToJson(const std::vector<LoadWish>& wishes) {
   Json json = Json::array();
   for (const LoadWish& wish : wishes) {
-    json.push_back(Json::array({wish.runner, wish.adapter, wish.version}));
+    json.push_back(Json::array(
+        {wish.runner, wish.adapter, wish.version, wish.is_missing}));
   }
   return json;
 }
@@ -44,13 +45,12 @@
   message.is_leaving = json.value("l", false);
   message.spent = Field<std::map<std::string, double>>(json, "t");
   message.loads = LoadsFromJson(json.value("r", Json::object()));
-  message.used =
-      Field<std::map<std::string, std::vector<std::string>>>(json, "u");
+  message.used = Field<std::map<std::string, std::set<std::string>>>(json, "u");
   message.owned = Field<std::map<std::string, HeldAdapters>>(json, "o");
   for (const Json& wish : json.value("w", Json::array())) {
-    message.wishes.push_back({wish.at(0).get<std::string>(),
-                              wish.at(1).get<std::string>(),
-                              wish.at(2).get<int64_t>()});
+    message.wishes.push_back(
+        {wish.at(0).get<std::string>(), wish.at(1).get<std::string>(),
+         wish.at(2).get<int64_t>(), wish.at(3).get<bool>()});
   }
   message.suspects = json.value("x", Json::object());
   return message;
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
   std::string runner;
   std::string adapter;
   int64_t version = 0;
+  bool is_missing = false;  // the runner refused a request for lack of it
 };
 
 struct PeerMessage {
@@ -31,7 +33,8 @@
   bool is_leaving = false;
   std::map<std::string, double> spent;      // customer -> tokens in all
   std::map<std::string, RunnerLoad> loads;  // runner -> sent by this host
-  std::map<std::string, std::vector<std::string>> used;  // runner -> adapters
+  // Runner -> adapters that requests of this host run on or ended on lately.
+  std::map<std::string, std::set<std::string>> used;
   std::map<std::string, HeldAdapters> owned;  // runner -> usable adapters
   std::vector<LoadWish> wishes;
   Json suspects = Json::object();
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -37,6 +37,7 @@
 struct RunnerView {
   RunnerEntry entry;
   RunnerLoad own;                           // sent by this host
+  std::map<std::string, int> own_adapters;  // adapter -> its requests under way
   std::map<std::string, RunnerLoad> peers;  // by session
   RunnerHealth health;
   Time cold_until;
