Load the base model on runners that start empty; refuse in time

Ruled out: late orders (the refusals go on long after that disturbance). Change: the owner orders the base model first, paced to the weight store's rate; a runner without the model takes no requests for it; a stream that could not be sent within 60 in 100 of its caller's patience is refused.

--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -48,8 +48,12 @@
 // it are refused.
 constexpr Duration kBelieveSpan = std::chrono::milliseconds(500);
 
-constexpr NameTable<StepKind, 5> kStepNames{{
+// A base model takes seconds from the weight store and under one from a copy.
+constexpr Duration kModelInterval = std::chrono::milliseconds(200);
+
+constexpr NameTable<StepKind, 6> kStepNames{{
     {StepKind::kReport, "report"},
+    {StepKind::kLoadModel, "load_model"},
     {StepKind::kLoad, "load"},
     {StepKind::kAskAgain, "ask_again"},
     {StepKind::kClose, "close"},
@@ -143,6 +147,29 @@
   return std::nullopt;
 }
 
+void NoteModelResult(const PlanStep& step,
+                     OrderResult result,
+                     Time now,
+                     AdapterPlan* plan) {
+  plan->model_due = now + kModelInterval;
+  switch (result) {
+    case OrderResult::kHolds:
+      plan->models.insert(step.adapter);
+      plan->is_model_ordered = false;
+      return;
+    case OrderResult::kUnderWay:
+      plan->order_count += plan->is_model_ordered ? 0 : 1;
+      plan->is_model_ordered = true;
+      return;
+    case OrderResult::kConflict:
+      plan->is_known = false;
+      plan->report_due = now + kReportLag;
+      return;
+    case OrderResult::kNoAnswer:
+      return;  // still due
+  }
+}
+
 bool IsWarm(const AdapterPlan& plan, const std::string& adapter) {
   return plan.held_before.contains(adapter);
 }
@@ -254,6 +281,12 @@
     }
     return PlanStep{StepKind::kReport, "", 0};
   }
+  if (plan->models.empty()) {
+    if (plan->model_wanted.empty() || now < plan->model_due) {
+      return std::nullopt;
+    }
+    return PlanStep{StepKind::kLoadModel, plan->model_wanted, 0};
+  }
   DropAnswered(now, plan);
   if (auto question = DueQuestion(now, *plan)) {
     return question;
@@ -272,6 +305,9 @@
     return plan.report_due;
   }
   Time next = now + std::chrono::seconds(1);
+  if (plan.models.empty()) {
+    return std::min(next, std::max(now, plan.model_due));
+  }
   for (const auto& [adapter, place] : plan.adapters) {
     if (place.phase != PlacePhase::kHeld) {
       next = std::min(next, place.ask_again);
@@ -288,7 +324,9 @@
                      OrderResult result,
                      Time now,
                      AdapterPlan* plan) {
-  if (step.kind == StepKind::kUnload) {
+  if (step.kind == StepKind::kLoadModel) {
+    NoteModelResult(step, result, now, plan);
+  } else if (step.kind == StepKind::kUnload) {
     NoteUnloadResult(step, result, now, plan);
   } else {
     NoteLoadResult(step, result, now, plan);
@@ -298,6 +336,8 @@
 void NoteReport(const RunnerReport& report, Time now, AdapterPlan* plan) {
   plan->is_known = true;
   plan->order_count = report.order_count;
+  plan->models = report.models;
+  plan->is_model_ordered = false;
   std::map<std::string, AdapterPlace> adapters;
   const auto add = [&](const std::string& adapter, int64_t version,
                        PlacePhase phase) {
--- a/rosemaryhook/adapter_plan.h
+++ b/rosemaryhook/adapter_plan.h
@@ -19,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "rosemaryhook/runner_entry.h"
@@ -49,6 +50,12 @@
 };
 
 struct AdapterPlan {
+  // Base models that the runner holds. One that starts is empty and needs one
+  // before it can hold adapters.
+  std::set<std::string> models;
+  std::string model_wanted;       // to be loaded if there is none
+  bool is_model_ordered = false;  // its load was accepted
+  Time model_due;                 // when to order it, or to ask whether it came
   int places = 0;
   bool is_known = false;    // a report has been taken in
   Time report_due;          // when to ask for one, if not known
@@ -59,13 +66,13 @@
   std::map<std::string, Time> held_before;
 };
 
-enum class StepKind { kReport, kLoad, kAskAgain, kClose, kUnload };
+enum class StepKind { kReport, kLoadModel, kLoad, kAskAgain, kClose, kUnload };
 
 std::string_view StepKindName(StepKind kind);
 
 struct PlanStep {
   StepKind kind = StepKind::kReport;
-  std::string adapter;
+  std::string adapter;  // or the base model
   int64_t version = 0;
 };
 
--- a/rosemaryhook/deployment.h
+++ b/rosemaryhook/deployment.h
@@ -56,6 +56,7 @@
   std::vector<EngineModel> models;
   double memory_mb = 0;    // for weights and adapters together
   int adapter_places = 0;  // adapters that one runner holds at most
+  double loads_per_s = 0;  // of base models from the weight store, by all
 };
 
 struct ServiceRule {
--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -87,6 +87,7 @@
   OrderRights rights;
   std::map<std::string, std::shared_ptr<OwnedRunner>> owned;
   StoreContact owner_contact;
+  Time model_load_due;  // this host may order the next base model then
 
   // Other hosts.
   asio::ip::udp::socket peer_socket;
--- a/rosemaryhook/edge_orders.cc
+++ b/rosemaryhook/edge_orders.cc
@@ -26,6 +26,10 @@
 // named.
 constexpr Duration kActiveSpan = std::chrono::seconds(10);
 
+// Part of the weight store's rate that is used: each host may be one load ahead
+// of its part.
+constexpr double kLoadRatePart = 0.7;
+
 // Between looks while orders are not allowed.
 constexpr Duration kIdlePause = std::chrono::milliseconds(200);
 
@@ -42,8 +46,8 @@
   }
   RunnerView& view = found->second;
   HeldAdapters held = UsableAdapters(owned.plan);
-  const bool is_heard =
-      owned.plan.is_known && MayOrder(edge->rights, runner, Now());
+  const bool is_heard = owned.plan.is_known && !owned.plan.models.empty() &&
+                        MayOrder(edge->rights, runner, Now());
   view.owner_heard = Now();
   if (held == view.held && view.is_owner_heard == is_heard) {
     return;
@@ -120,6 +124,21 @@
   }
 }
 
+// Between base models that this host orders: its part of the rate at which the
+// weight store may be read by all.
+Duration ModelLoadInterval(const Edge& edge, const RunnerView& view) {
+  const auto service = edge.deployment->services.find(view.entry.service);
+  const double loads_per_s = service == edge.deployment->services.end()
+                                 ? 0
+                                 : service->second.engine.loads_per_s;
+  if (loads_per_s <= 0) {
+    return Duration::zero();
+  }
+  const int hosts = FleetQuorum(edge, Now()).hosts;
+  return Duration(
+      static_cast<int64_t>(1e6 * hosts / (kLoadRatePart * loads_per_s)));
+}
+
 awaitable<void> TakeOrder(EdgePtr edge,
                           std::string runner,
                           OwnedPtr owned,
@@ -128,9 +147,8 @@
   HttpCall call = CallTo(*edge, *view, runner);
   call.target = platform::kOrderTarget;
   platform::RunnerOrder order;
-  order.kind = step.kind == StepKind::kUnload
-                   ? platform::OrderKind::kUnloadAdapter
-                   : platform::OrderKind::kLoadAdapter;
+  order.kind = step.kind == StepKind::kUnload ? platform::OrderKind::kUnload
+                                              : platform::OrderKind::kLoad;
   order.adapter = step.adapter;
   order.order_count = owned->plan.order_count;
   order.fence = edge->rights.rows[runner].version;
@@ -147,6 +165,9 @@
                 {"status", answer == nullptr ? 0 : answer->status}});
   edge->metrics.Count("orders_total",
                       "step=\"" + std::string(StepKindName(step.kind)) + "\"");
+  if (step.kind == StepKind::kLoadModel && !owned->plan.is_model_ordered) {
+    edge->model_load_due = Now() + ModelLoadInterval(*edge, *view);
+  }
   NoteOrderResult(step, result, Now(), &owned->plan);
 }
 
@@ -174,6 +195,10 @@
       co_await owned->changed.Wait(now + kIdlePause);
       continue;
     }
+    if (!owned->plan.is_model_ordered) {
+      owned->plan.model_due =
+          std::max(owned->plan.model_due, edge->model_load_due);
+    }
     auto step = NextStepOf(now, &owned->plan);
     if (!step) {
       Publish(runner, *owned, edge.get());
@@ -194,6 +219,24 @@
   Log("owned_end", {{"runner", runner}});
 }
 
+// The model of `service` that the fewest backend servers hold.
+std::string RarestModel(const Edge& edge, const ServiceRule& service) {
+  std::string rarest;
+  std::ptrdiff_t fewest = 0;
+  for (const EngineModel& model : service.engine.models) {
+    const auto copies = std::count_if(
+        edge.runners.begin(), edge.runners.end(), [&](const auto& entry) {
+          return entry.second.gone_at == Time() &&
+                 entry.second.entry.models.contains(model.name);
+        });
+    if (rarest.empty() || copies < fewest) {
+      rarest = model.name;
+      fewest = copies;
+    }
+  }
+  return rarest;
+}
+
 }  // namespace
 
 void StartOwnedRunners(const EdgePtr& edge) {
@@ -233,6 +276,7 @@
   const auto service = edge.deployment->services.find(view->entry.service);
   if (service != edge.deployment->services.end()) {
     owned->plan.places = AdapterPlaces(service->second.engine);
+    owned->plan.model_wanted = RarestModel(edge, service->second);
   }
 }
 
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -37,8 +37,15 @@
 constexpr Duration kLoadLimit = std::chrono::milliseconds(1500);
 constexpr size_t kMaxPendingLoads = 2000;
 
-// Part of a caller's time that a request may wait before it is first sent.
-constexpr double kWaitPart = 0.5;
+// A caller of a stream leaves after this many objectives without an event, at
+// the earliest after kLeastPatience; any caller at its own limit.
+constexpr int kPatientObjectives = 4;
+constexpr Duration kLeastPatience = std::chrono::seconds(2);
+
+// Percentage of a caller's patience that a request may wait before it is first
+// sent. Later it could hardly be answered before the caller leaves, and can
+// still come back.
+constexpr int kWaitPercent = 60;
 
 struct EdgeRefusal {
   int status = 503;
@@ -191,6 +198,7 @@
   wanted.tried = call.tried;
   wanted.zones_out = &edge.zones_out;
   if (wanted.has_engine) {
+    wanted.model = call.headers.model;
     wanted.adapter = call.headers.adapter;
     const auto version = edge.named_versions.find(wanted.adapter);
     if (version != edge.named_versions.end()) {
@@ -231,14 +239,21 @@
   SendWish({pending.runner, wanted.adapter, wanted.adapter_version}, edge);
 }
 
+// How long the caller waits for the first byte.
+Duration Patience(const EdgeCall& call) {
+  const Duration limit = call.deadline - call.arrived;
+  if (call.route->kind != RequestKind::kStreaming) {
+    return limit;
+  }
+  return std::min(limit, std::max(kLeastPatience,
+                                  call.route->objective * kPatientObjectives));
+}
+
 // The runner to send to, after waiting for one that holds the adapter. Empty if
 // none can serve the request in time.
 awaitable<std::string> PickRunner(EdgeCall& call) {
   Edge& edge = *call.edge;
-  const auto span = std::chrono::duration<double>(call.deadline - call.arrived);
-  const Time wait_until =
-      call.arrived +
-      Duration(static_cast<int64_t>(span.count() * kWaitPart * 1e6));
+  const Time wait_until = call.arrived + Patience(call) * kWaitPercent / 100;
   while (!call.is_gone) {
     const Time now = Now();
     const WantedRunner wanted = WantedFor(call);
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -146,6 +146,7 @@
 bool IsUsable(const RunnerView& view, const WantedRunner& wanted) {
   return view.entry.service == wanted.service && !view.entry.is_leaving &&
          view.gone_at == Time() && !wanted.tried.contains(view.entry.id) &&
+         (wanted.model.empty() || view.entry.models.contains(wanted.model)) &&
          !(wanted.zones_out != nullptr &&
            wanted.zones_out->contains(view.entry.zone));
 }
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -58,6 +58,7 @@
 struct WantedRunner {
   std::string service;
   std::string zone;             // of the asking host
+  std::string model;            // base model; empty for plain services
   std::string adapter;          // empty if none is asked for
   int64_t adapter_version = 0;  // the least that will do
   std::string affinity;         // hashed where there is no adapter
