--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -1,5 +1,6 @@
 // One coroutine for each connection: read a request, hand it to the handler,
 // and go on while both sides keep the connection.
+#include <algorithm>
 #include <charconv>
 
 #include "rosemaryhook/http.h"
@@ -87,6 +88,14 @@
          beast::iequals({line.data(), name.size()}, {name.data(), name.size()});
 }
 
+// Whether `line`, of a length, gives one number and nothing else.
+bool IsOneNumber(std::string_view line) {
+  const std::string_view value = line.substr(line.find(':') + 1);
+  return std::all_of(value.begin(), value.end(), [](char c) {
+    return (c >= '0' && c <= '9') || c == ' ' || c == '\t';
+  });
+}
+
 // Whether a header can be read in one way only. Folded lines, a second length
 // or host, and a length beside chunks let two readers disagree on where a
 // request ends (RFC 9112, 5.2 and 6.3). `header` includes the request line.
@@ -107,7 +116,12 @@
             std::string_view::npos) {
       return false;
     }
-    lengths += HasName(line, "Content-Length") ? 1 : 0;
+    if (HasName(line, "Content-Length")) {
+      ++lengths;
+      if (!IsOneNumber(line)) {
+        return false;
+      }
+    }
     encodings += HasName(line, "Transfer-Encoding") ? 1 : 0;
     hosts += HasName(line, "Host") ? 1 : 0;
   }
--- /dev/null
+++ b/rosemaryhook/testing/adapter_plan_test.cc
@@ -0,0 +1,288 @@
+#include "rosemaryhook/adapter_plan.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace rosemaryhook {
+namespace {
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(100)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+// A plain model of a runner, as the platform describes one: it checks the
+// count, loads several adapters at once, crashes when told to hold more than it
+// can, and waits with a drop until nothing runs on the adapter.
+class PlainRunner {
+ public:
+  explicit PlainRunner(int places) : places_(places) {}
+
+  OrderResult Order(const PlanStep& step, int64_t count, double now) {
+    Advance(now);
+    if (step.kind == StepKind::kUnload) {
+      return Unload(step.adapter, count);
+    }
+    const auto held = held_.find(step.adapter);
+    if (held != held_.end() && held->second >= step.version) {
+      return OrderResult::kHolds;
+    }
+    if (coming_.contains(step.adapter)) {
+      return OrderResult::kUnderWay;
+    }
+    if (count != count_ || !leaving_.empty()) {
+      return OrderResult::kConflict;
+    }
+    ++count_;
+    coming_[step.adapter] = {now + 0.25, step.version};
+    if (Taken() > places_) {
+      has_crashed = true;
+    }
+    return OrderResult::kUnderWay;
+  }
+
+  RunnerReport Report(double now) {
+    Advance(now);
+    RunnerReport report;
+    report.order_count = count_;
+    report.models = {"m"};
+    report.adapters = held_;
+    for (const auto& [adapter, load] : coming_) {
+      report.coming[adapter] = load.second;
+    }
+    return report;
+  }
+
+  void Advance(double now) {
+    for (auto it = coming_.begin(); it != coming_.end();) {
+      if (it->second.first <= now) {
+        held_[it->first] = it->second.second;
+        it = coming_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    std::erase_if(leaving_, [&](const std::string& adapter) {
+      if (running[adapter] > 0) {
+        return false;
+      }
+      held_.erase(adapter);
+      return true;
+    });
+  }
+
+  bool Holds(const std::string& adapter) const {
+    return held_.contains(adapter);
+  }
+
+  std::map<std::string, int> running;
+  bool has_crashed = false;
+
+ private:
+  OrderResult Unload(const std::string& adapter, int64_t count) {
+    if (leaving_.contains(adapter)) {
+      return OrderResult::kUnderWay;
+    }
+    if (!held_.contains(adapter)) {
+      return OrderResult::kHolds;
+    }
+    if (count != count_ || !leaving_.empty()) {
+      return OrderResult::kConflict;
+    }
+    ++count_;
+    if (running[adapter] > 0) {
+      leaving_.insert(adapter);
+      return OrderResult::kUnderWay;
+    }
+    held_.erase(adapter);
+    return OrderResult::kHolds;
+  }
+
+  int Taken() const { return static_cast<int>(held_.size() + coming_.size()); }
+
+  int places_;
+  int64_t count_ = 0;
+  HeldAdapters held_;
+  std::map<std::string, std::pair<double, int64_t>> coming_;
+  std::set<std::string> leaving_;
+};
+
+// An order whose answer was lost and that the runner sees later, or never.
+struct LateOrder {
+  PlanStep step;
+  int64_t count;
+  double at;
+};
+
+struct Outcome {
+  bool has_crashed = false;
+  int loaded = 0;
+  double longest_wait = 0;
+};
+
+// Random adapters are wanted, used and forgotten; `lost` is the part of orders
+// without an answer.
+Outcome Play(unsigned seed, double lost, int names, double wish_part) {
+  std::mt19937 random(seed);
+  std::uniform_real_distribution<double> draw(0, 1);
+  PlainRunner runner(4);
+  AdapterPlan plan;
+  plan.places = 4;
+  std::vector<LateOrder> late;
+  std::map<std::string, double> wanted;  // adapter -> since
+  std::map<std::string, double> runs_until;
+  Outcome outcome;
+  for (int tick = 0; tick < 6000; ++tick) {
+    const double now = tick * 0.005;
+    for (auto it = late.begin(); it != late.end();) {
+      if (it->at <= now) {
+        runner.Order(it->step, it->count, now);
+        it = late.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    if (draw(random) < wish_part) {
+      const std::string adapter =
+          "m/a" + std::to_string(static_cast<int>(draw(random) * names));
+      wanted.try_emplace(adapter, now);
+    }
+    for (auto it = wanted.begin(); it != wanted.end();) {
+      NoteWanted(it->first, 0, At(now), &plan);
+      const HeldAdapters held = UsableAdapters(plan);
+      if (held.contains(it->first) && runner.Holds(it->first)) {
+        runner.running[it->first] = 1;
+        runs_until[it->first] = now + 0.3 * draw(random);
+        outcome.longest_wait = std::max(outcome.longest_wait, now - it->second);
+        ++outcome.loaded;
+        it = wanted.erase(it);
+      } else if (held.contains(it->first)) {
+        NoteMissing(it->first, At(now), &plan);
+        ++it;
+      } else {
+        ++it;
+      }
+    }
+    for (auto& [adapter, until] : runs_until) {
+      if (runner.running[adapter] > 0) {
+        NoteUsed(adapter, At(now), &plan);
+        runner.running[adapter] = until > now ? 1 : 0;
+      }
+    }
+    runner.Advance(now);
+    if (const auto step = NextStepOf(At(now), &plan)) {
+      if (step->kind == StepKind::kReport) {
+        NoteReport(runner.Report(now), At(now), &plan);
+      } else if (step->kind != StepKind::kClose && draw(random) < lost) {
+        late.push_back({*step, plan.order_count, now + 10 * draw(random)});
+        NoteOrderResult(*step, OrderResult::kNoAnswer, At(now), &plan);
+      } else if (step->kind != StepKind::kClose) {
+        const auto result = runner.Order(*step, plan.order_count, now);
+        NoteOrderResult(*step, result, At(now), &plan);
+      }
+    }
+    outcome.has_crashed = outcome.has_crashed || runner.has_crashed;
+  }
+  return outcome;
+}
+
+BOOST_AUTO_TEST_SUITE(adapter_plan)
+
+// Popularity shifts, rare adapters asked for at once, orders carried out late.
+BOOST_AUTO_TEST_CASE(a_runner_is_never_told_to_hold_more_than_it_can) {
+  for (unsigned seed = 1; seed <= 30; ++seed) {
+    for (const double lost : {0.0, 0.3}) {
+      const Outcome outcome = Play(seed, lost, 12, 0.02);
+      BOOST_TEST(!outcome.has_crashed, seed);
+      BOOST_TEST(outcome.loaded > 20, seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(every_wish_is_met_in_time_where_places_suffice) {
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    // Four adapters for four places: nothing has to be dropped.
+    const Outcome calm = Play(seed, 0, 4, 0.02);
+    BOOST_TEST(calm.longest_wait <= 0.4, seed);
+    const Outcome lossy = Play(seed, 0.3, 4, 0.02);
+    BOOST_TEST(lossy.longest_wait <= 2.5, seed);
+  }
+}
+
+AdapterPlan KnownPlan(int places) {
+  AdapterPlan plan;
+  plan.places = places;
+  plan.is_known = true;
+  plan.models = {"m"};
+  return plan;
+}
+
+BOOST_AUTO_TEST_CASE(an_empty_runner_gets_its_base_model_first) {
+  AdapterPlan plan = KnownPlan(4);
+  plan.models.clear();
+  plan.model_wanted = "m";
+  NoteWanted("m/a", 0, At(0), &plan);
+  auto step = NextStepOf(At(0), &plan);
+  BOOST_REQUIRE(step.has_value());
+  BOOST_TEST((step->kind == StepKind::kLoadModel));
+  NoteOrderResult(*step, OrderResult::kUnderWay, At(0), &plan);
+  BOOST_TEST(plan.order_count == 1);
+  step = NextStepOf(At(1), &plan);
+  BOOST_TEST((step->kind == StepKind::kLoadModel));
+  NoteOrderResult(*step, OrderResult::kUnderWay, At(1), &plan);
+  BOOST_TEST(plan.order_count == 1);
+  step = NextStepOf(At(1.3), &plan);
+  NoteOrderResult(*step, OrderResult::kHolds, At(1.3), &plan);
+  step = NextStepOf(At(1.4), &plan);
+  BOOST_TEST((step->kind == StepKind::kLoad));
+}
+
+BOOST_AUTO_TEST_CASE(an_adapter_in_use_is_not_dropped) {
+  AdapterPlan plan = KnownPlan(1);
+  plan.adapters["m/a"] = {PlacePhase::kHeld, 1, At(0)};
+  NoteUsed("m/a", At(2), &plan);
+  NoteWanted("m/b", 0, At(2.1), &plan);
+  BOOST_TEST(!NextStepOf(At(2.1), &plan).has_value());
+  const auto step = NextStepOf(At(3.55), &plan);
+  BOOST_REQUIRE(step.has_value());
+  BOOST_TEST((step->kind == StepKind::kClose));
+  BOOST_TEST(UsableAdapters(plan).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_newer_version_replaces_an_idle_one_in_its_place) {
+  AdapterPlan plan = KnownPlan(1);
+  plan.adapters["m/a"] = {PlacePhase::kHeld, 1, At(0)};
+  NoteUsed("m/a", At(2), &plan);
+  NoteWanted("m/a", 2, At(2), &plan);
+  BOOST_TEST(!NextStepOf(At(2.2), &plan).has_value());
+  const auto step = NextStepOf(At(2.5), &plan);
+  BOOST_REQUIRE(step.has_value());
+  BOOST_TEST((step->kind == StepKind::kLoad));
+  BOOST_TEST(step->version == 2);
+  NoteOrderResult(*step, OrderResult::kUnderWay, At(2.5), &plan);
+  BOOST_TEST(UsableAdapters(plan).empty());
+  NoteOrderResult({StepKind::kAskAgain, "m/a", 2}, OrderResult::kHolds, At(2.8),
+                  &plan);
+  BOOST_TEST(UsableAdapters(plan).at("m/a") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(while_a_drop_waits_for_runs_nothing_else_is_ordered) {
+  AdapterPlan plan = KnownPlan(2);
+  plan.adapters["m/a"] = {PlacePhase::kClosing, 1, At(0)};
+  const PlanStep unload{StepKind::kUnload, "m/a", 1};
+  NoteOrderResult(unload, OrderResult::kUnderWay, At(1), &plan);
+  BOOST_TEST(plan.order_count == 1);
+  NoteWanted("m/b", 0, At(1), &plan);
+  BOOST_TEST(!NextStepOf(At(1.05), &plan).has_value());
+  auto step = NextStepOf(At(1.2), &plan);
+  BOOST_TEST((step->kind == StepKind::kUnload));
+  NoteOrderResult(*step, OrderResult::kHolds, At(1.2), &plan);
+  BOOST_TEST(plan.order_count == 1);
+  step = NextStepOf(At(1.2), &plan);
+  BOOST_TEST((step->kind == StepKind::kLoad));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -0,0 +1,172 @@
+// What a direct host takes in from the store and from other hosts.
+#include <boost/test/unit_test.hpp>
+
+#include "rosemaryhook/edge_peers.h"
+#include "rosemaryhook/edge_store.h"
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(100)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+struct Fixture {
+  Fixture() : edge(io) {
+    edge.session = "self";
+    edge.settings.peers = "10.0.0.1:7600";
+  }
+  asio::io_context io;
+  Edge edge;
+};
+
+StoreRow Entry(const std::string& id,
+               const std::string& state = "ready",
+               int born = 1) {
+  return {id,
+          R"({"service":"chat","address":"1.2.3.4:80","zone":"z1","state":")" +
+              state +
+              R"(","models":[{"name":"m","adapters":["a1@1"]}],"born":)" +
+              std::to_string(born) + "}",
+          1, false};
+}
+
+StoreRow Configuration(int version) {
+  return {"config",
+          R"({"version":)" + std::to_string(version) +
+              R"(,"routes":[],"services":[]})",
+          1, false};
+}
+
+BOOST_FIXTURE_TEST_SUITE(edge_state, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_configuration_never_goes_back) {
+  BOOST_TEST(ApplyOperatorRow(Configuration(5), At(1), &edge));
+  BOOST_TEST(ApplyOperatorRow(Configuration(3), At(2), &edge));
+  BOOST_TEST(edge.deployment->version == 5);
+  BOOST_TEST(!ApplyOperatorRow({"config", "{broken", 9, false}, At(3), &edge));
+  BOOST_TEST(edge.deployment->version == 5);
+  BOOST_TEST(ApplyOperatorRow(Configuration(8), At(4), &edge));
+  BOOST_TEST(edge.deployment->version == 8);
+}
+
+BOOST_AUTO_TEST_CASE(zones_and_versions_follow_their_rows) {
+  ApplyOperatorRow({"evacuate/z1", "{}", 1, false}, At(1), &edge);
+  BOOST_TEST(edge.zones_out.contains("z1"));
+  ApplyOperatorRow({"evacuate/z1", "", 2, true}, At(2), &edge);
+  BOOST_TEST(!edge.zones_out.contains("z1"));
+  const auto version = [&](int number) {
+    return StoreRow{"version/m.a1",
+                    R"({"model":"m","adapter":"a1","version":)" +
+                        std::to_string(number) + "}",
+                    1, false};
+  };
+  ApplyOperatorRow(version(4), At(3), &edge);
+  ApplyOperatorRow(version(2), At(4), &edge);
+  BOOST_TEST(edge.named_versions.at("m/a1") == 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_runner_that_leaves_or_vanishes_gets_no_work) {
+  WantedRunner wanted;
+  wanted.service = "chat";
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  BOOST_TEST(IsUsable(edge.runners.at("i-1"), wanted));
+  ApplyRunnerRow(Entry("i-1", "draining"), At(2), Time(), &edge);
+  BOOST_TEST(!IsUsable(edge.runners.at("i-1"), wanted));
+  ApplyRunnerRow(Entry("i-2"), At(1), Time(), &edge);
+  ApplyRunnerRow({"i-2", "", 2, true}, At(2), Time(), &edge);
+  BOOST_TEST(!IsUsable(edge.runners.at("i-2"), wanted));
+  ApplyRunnerRow({"i-3", "garbage", 2, false}, At(2), Time(), &edge);
+  BOOST_TEST(!edge.runners.contains("i-3"));
+}
+
+// Entries lapse while the store is away, and come back within two seconds.
+BOOST_AUTO_TEST_CASE(an_entry_that_lapsed_in_an_outage_is_kept_for_a_while) {
+  WantedRunner wanted;
+  wanted.service = "chat";
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  ApplyRunnerRow({"i-1", "", 2, true}, At(10), At(12), &edge);
+  ExpireRunners(At(11.9), &edge);
+  BOOST_TEST(IsUsable(edge.runners.at("i-1"), wanted));
+  ExpireRunners(At(12), &edge);
+  BOOST_TEST(!IsUsable(edge.runners.at("i-1"), wanted));
+  ApplyRunnerRow(Entry("i-2"), At(1), Time(), &edge);
+  ApplyRunnerRow({"i-2", "", 2, true}, At(10), At(12), &edge);
+  ApplyRunnerRow(Entry("i-2"), At(11), At(12), &edge);
+  ExpireRunners(At(13), &edge);
+  BOOST_TEST(IsUsable(edge.runners.at("i-2"), wanted));
+}
+
+BOOST_AUTO_TEST_CASE(a_restart_under_the_same_id_forgets_what_was_held) {
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  RunnerView& view = edge.runners.at("i-1");
+  view.held["m/a9"] = 1;
+  view.own.running = 1;
+  NoteUnreachable(At(1), &view.health);
+  ApplyRunnerRow(Entry("i-1", "ready", 2), At(2), Time(), &edge);
+  BOOST_TEST(!view.held.contains("m/a9"));
+  BOOST_TEST(view.held.contains("m/a1"));
+  BOOST_TEST((view.health.avoid_until == Time()));
+  // The request under way to the earlier start counts itself out.
+  BOOST_TEST(view.own.running == 1);
+}
+
+PeerMessage From(const std::string& session, int64_t number) {
+  PeerMessage message;
+  message.session = session;
+  message.address = "10.0.0.2:7600";
+  message.zone = "z1";
+  message.number = number;
+  return message;
+}
+
+BOOST_AUTO_TEST_CASE(what_hosts_say_counts_until_they_fall_silent) {
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  PeerMessage message = From("peer", 1);
+  message.loads["i-1"] = {4, 600};
+  message.owned["i-1"] = {{"m/a5", 2}};
+  ApplyPeerMessage(message, At(1), &edge);
+  const RunnerView& view = edge.runners.at("i-1");
+  BOOST_TEST(TotalLoad(view).running == 4);
+  BOOST_TEST(view.held.at("m/a5") == 2);
+  BOOST_TEST(view.is_owner_heard);
+  // An older message changes nothing.
+  PeerMessage late = From("peer", 0);
+  late.loads["i-1"] = {9, 0};
+  ApplyPeerMessage(late, At(1.5), &edge);
+  BOOST_TEST(TotalLoad(view).running == 4);
+  ExpirePeers(At(2), &edge);
+  BOOST_TEST(TotalLoad(view).running == 4);
+  ExpirePeers(At(4), &edge);
+  BOOST_TEST(TotalLoad(view).running == 0);
+  BOOST_TEST(!view.is_owner_heard);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_cut_off_takes_only_its_part_of_the_rates) {
+  BOOST_TEST(FleetQuorum(edge, At(1)).hosts == 1);
+  for (int i = 0; i < 7; ++i) {
+    PeerMessage message = From("peer" + std::to_string(i), 1);
+    message.address = "10.0.0." + std::to_string(i + 2) + ":7600";
+    ApplyPeerMessage(message, At(1), &edge);
+  }
+  BOOST_TEST(FleetQuorum(edge, At(1)).heard == 8);
+  BOOST_TEST(FleetQuorum(edge, At(1)).hosts == 8);
+  BOOST_TEST(FleetQuorum(edge, At(5)).heard == 1);
+  BOOST_TEST(FleetQuorum(edge, At(5)).hosts == 8);
+  // Nobody heard for long: still not alone.
+  BOOST_TEST(FleetQuorum(edge, At(100)).hosts >= 7);
+  // One host that ended does not take its part for ever.
+  for (int i = 0; i < 6; ++i) {
+    PeerMessage message = From("peer" + std::to_string(i), 2);
+    message.address = "10.0.0." + std::to_string(i + 2) + ":7600";
+    ApplyPeerMessage(message, At(30), &edge);
+  }
+  BOOST_TEST(FleetQuorum(edge, At(30)).hosts == 7);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/testing/order_rights_test.cc
@@ -0,0 +1,253 @@
+#include "rosemaryhook/order_rights.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace rosemaryhook {
+namespace {
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(100)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+OrderRights Rights(const std::string& session, const std::string& address) {
+  OrderRights rights;
+  rights.session = session;
+  rights.address = address;
+  rights.zone = "z1";
+  rights.started = At(0);
+  return rights;
+}
+
+HeardHost Host(const std::string& session,
+               const std::string& address,
+               double heard) {
+  return {session, address, "z1", At(heard), false};
+}
+
+const std::vector<OwnableRunner> kOneRunner{{"r", "z1"}};
+
+BOOST_AUTO_TEST_SUITE(order_rights)
+
+BOOST_AUTO_TEST_CASE(who_may_take_a_row_and_from_when_it_may_order) {
+  struct Case {
+    std::string what;
+    OwnerRow row;
+    std::optional<HeardHost> owner;
+    double now;
+    bool claims;
+    double wait_s;  // from the claim to the first order
+  };
+  const double contact = 7;
+  const std::vector<Case> cases{
+      {"nobody owns it", {}, {}, 2, true, 0},
+      {"just started, others are not heard yet", {}, {}, 0.5, false, 0},
+      {"the owner is heard",
+       {"s-old", "b", 5},
+       Host("s-old", "b", 9),
+       10,
+       false,
+       0},
+      {"the owner is silent for a while",
+       {"s-old", "b", 5},
+       Host("s-old", "b", 7),
+       10,
+       false,
+       0},
+      {"the owner is silent",
+       {"s-old", "b", 5},
+       Host("s-old", "b", 5),
+       10,
+       true,
+       contact + 3},
+      {"the owner was never heard",
+       {"s-old", "b", 5},
+       {},
+       10,
+       true,
+       contact + 3},
+      {"the owner was never heard, but I am new",
+       {"s-old", "b", 5},
+       {},
+       3,
+       false,
+       0},
+      {"it was mine before I restarted", {"s-old", "a", 5}, {}, 0.1, true, 0},
+  };
+  for (const Case& test : cases) {
+    OrderRights rights = Rights("s-new", "a");
+    std::map<std::string, HeardHost> hosts;
+    if (test.owner) {
+      hosts[test.owner->session] = *test.owner;
+    }
+    if (test.row.version > 0) {
+      NoteOwnerRow("r", test.row, &rights);
+    }
+    const auto claims =
+        PlanOwnerClaims(kOneRunner, hosts, At(test.now), &rights);
+    BOOST_TEST(claims.size() == (test.claims ? 1U : 0U), test.what);
+    if (claims.empty()) {
+      continue;
+    }
+    BOOST_TEST(claims[0].expected == test.row.version);
+    NoteClaimed(claims[0], 9, At(test.now), &rights);
+    NoteContact(At(test.now + 1000), &rights);
+    BOOST_TEST(MayOrder(rights, "r", At(test.now + test.wait_s + 0.5)),
+               test.what);
+    if (test.wait_s > 0) {
+      BOOST_TEST(!MayOrder(rights, "r", At(test.now + test.wait_s)), test.what);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(no_orders_without_contact_or_after_losing_the_row) {
+  OrderRights rights = Rights("s", "a");
+  NoteClaimed({"r", 0, ClaimReason::kUnowned}, 5, At(1), &rights);
+  BOOST_TEST(!MayOrder(rights, "r", At(1)));  // the store was never heard
+  NoteContact(At(1), &rights);
+  BOOST_TEST(MayOrder(rights, "r", At(7.9)));
+  BOOST_TEST(!MayOrder(rights, "r", At(8)));
+  NoteContact(At(8), &rights);
+  BOOST_TEST(MayOrder(rights, "r", At(8)));
+  NoteOwnerRow("r", {"s2", "b", 6}, &rights);
+  BOOST_TEST(!MayOrder(rights, "r", At(8)));
+  // An older view of the row does not bring it back.
+  NoteOwnerRow("r", {"s", "a", 5}, &rights);
+  BOOST_TEST(!MayOrder(rights, "r", At(8)));
+}
+
+// Random pauses, cuts, outages and lost acknowledgements: the orders of two
+// hosts to one runner are never closer than the lease.
+class World {
+ public:
+  explicit World(unsigned seed) : random_(seed) {
+    for (int i = 0; i < 3; ++i) {
+      const std::string name = std::to_string(i);
+      hosts_.push_back({Rights("s" + name, "a" + name), {}, 0, 0, {}});
+    }
+  }
+
+  void Step(double now) {
+    for (size_t i = 0; i < hosts_.size(); ++i) {
+      Disturb(now, &hosts_[i]);
+      if (now < hosts_[i].paused_until) {
+        continue;
+      }
+      Hear(now, i);
+      Poll(now, &hosts_[i]);
+      Order(now, static_cast<int>(i));
+    }
+  }
+
+  double closest() const { return closest_; }
+  int owners_seen() const { return static_cast<int>(owners_.size()); }
+
+ private:
+  struct Sim {
+    OrderRights rights;
+    std::map<std::string, HeardHost> heard;
+    double paused_until = 0;
+    double cut_until = 0;  // from the store and the others
+    // A question under way: when asked, when the answer comes, what it says.
+    struct Answer {
+      double asked;
+      double at;
+      OwnerRow row;
+    };
+    std::optional<Answer> pending;
+  };
+
+  double Draw() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+
+  void Disturb(double now, Sim* host) {
+    if (Draw() < 0.0005) {
+      host->paused_until = now + 12 * Draw();
+    }
+    if (Draw() < 0.0005) {
+      host->cut_until = now + 15 * Draw();
+    }
+  }
+
+  void Hear(double now, size_t self) {
+    for (size_t i = 0; i < hosts_.size(); ++i) {
+      const bool is_heard = i != self && now >= hosts_[i].paused_until &&
+                            now >= hosts_[i].cut_until &&
+                            now >= hosts_[self].cut_until;
+      if (is_heard) {
+        const std::string name = std::to_string(i);
+        hosts_[self].heard["s" + name] = Host("s" + name, "a" + name, now);
+      }
+    }
+  }
+
+  // The store answers a question as of some moment while it was under way.
+  void Poll(double now, Sim* host) {
+    if (host->pending && now >= host->pending->at) {
+      NoteOwnerRow("r", host->pending->row, &host->rights);
+      NoteContact(At(host->pending->asked), &host->rights);
+      host->pending.reset();
+      Claim(now, host);
+    }
+    if (!host->pending && now >= host->cut_until && Draw() < 0.1) {
+      host->pending = Sim::Answer{now, now + 2 * Draw(), row_};
+    }
+  }
+
+  void Claim(double now, Sim* host) {
+    const auto claims =
+        PlanOwnerClaims(kOneRunner, host->heard, At(now), &host->rights);
+    if (claims.empty() || claims[0].expected != row_.version ||
+        now < host->cut_until) {
+      return;
+    }
+    row_ = {host->rights.session, host->rights.address, ++version_};
+    // A lost acknowledgement: found later, and waited for from then on.
+    NoteClaimed(claims[0], version_, At(now), &host->rights);
+  }
+
+  void Order(double now, int host) {
+    if (!MayOrder(hosts_[host].rights, "r", At(now))) {
+      return;
+    }
+    owners_.insert(host);
+    if (last_owner_ >= 0 && last_owner_ != host) {
+      closest_ = std::min(closest_, now - last_order_);
+    }
+    last_owner_ = host;
+    last_order_ = now;
+  }
+
+  std::mt19937 random_;
+  std::vector<Sim> hosts_;
+  OwnerRow row_;
+  int64_t version_ = 0;
+  int last_owner_ = -1;
+  double last_order_ = 0;
+  double closest_ = 1e9;
+  std::set<int> owners_;
+};
+
+BOOST_AUTO_TEST_CASE(orders_of_two_hosts_are_never_closer_than_the_lease) {
+  int changes = 0;
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    World world(seed);
+    for (int tick = 0; tick < 12000; ++tick) {
+      world.Step(tick * 0.02);
+    }
+    BOOST_TEST(world.closest() >= 3.0, seed);
+    changes += world.owners_seen() > 1 ? 1 : 0;
+  }
+  // The seeds do exercise take-overs.
+  BOOST_TEST(changes > 10);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -0,0 +1,315 @@
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "platform/configuration_codec.h"
+#include "platform/header_codec.h"
+#include "platform/runner_codec.h"
+#include "platform/store_codec.h"
+#include "rosemaryhook/peer_message.h"
+
+namespace rosemaryhook::platform {
+namespace {
+
+constexpr char kConfiguration[] = R"({"version":7,"routes":[
+ {"name":"ask","host":"a.example","prefix":"/ask/","kind":"streaming",
+  "timeout_ms":8000,"target_latency_ms":800,"priority":0,
+  "backends":[{"service":"chat","weight":90},{"service":"chat2","weight":10}],
+  "max_attempts":2,"public":false,"sticky":true,"resumable":true},
+ {"name":"open","host":"a.example","prefix":"/open/","kind":"idempotent",
+  "timeout_ms":600,"service":"book","max_attempts":2,"public":true}],
+ "services":[{"name":"chat","max_connections":620,"cold_per_s":21.0,
+  "engine":{"slots":128,"models":[{"name":"m","weight_size":34300.0,
+   "adapters":3000,"adapter_mb":40.0}],"weight_size":35600.0,
+   "adapter_slots":16,"loads_per_s":5.1}},{"name":"book"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"marsu","api_keys":["k1","k2"],"priority":1,
+  "unit":"token_count","plain_tokens":200,"rate_per_s":100,"burst":50}]})";
+
+HttpRequest Request(const Headers& headers) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/ask/1";
+  for (const auto& [name, value] : headers) {
+    request.fields.insert(name, value);
+  }
+  return request;
+}
+
+int CountOf(const Headers& headers, const std::string& name) {
+  return static_cast<int>(std::count_if(
+      headers.begin(), headers.end(),
+      [&](const auto& header) { return beast::iequals(header.first, name); }));
+}
+
+BOOST_AUTO_TEST_SUITE(platform_codec)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_into_the_products_types) {
+  const auto parsed = ParseDeployment(kConfiguration);
+  BOOST_REQUIRE(Failure(parsed) == nullptr);
+  const Deployment& deployment = std::get<Deployment>(parsed);
+  const RouteRule* route = FindRoute(deployment, "a.example", "/ask/1");
+  BOOST_REQUIRE(route != nullptr);
+  BOOST_TEST((route->kind == RequestKind::kStreaming));
+  BOOST_TEST(Millis(route->answer_limit) == 8000);
+  BOOST_TEST(Millis(route->objective) == 800);
+  BOOST_TEST(route->services.size() == 2U);
+  BOOST_TEST(route->is_resumable);
+  BOOST_TEST(FindRoute(deployment, "a.example", "/open/")->is_open);
+  const ServiceRule& chat = deployment.services.at("chat");
+  BOOST_TEST(chat.has_engine);
+  BOOST_TEST(AdapterPlaces(chat.engine) == 16);
+  BOOST_TEST(!deployment.services.at("book").has_engine);
+  const CustomerRule& customer = deployment.customers.at("marsu");
+  BOOST_TEST(customer.counts_tokens);
+  BOOST_TEST(customer.plain_cost == 200);
+  BOOST_TEST(deployment.customer_of_key.at("k2") == "marsu");
+  BOOST_TEST(Millis(deployment.limits.idle_timeout) == 15000);
+}
+
+// Mutated bytes never crash a parser, and never yield half a configuration.
+BOOST_AUTO_TEST_CASE(mutated_input_is_refused_or_read_whole) {
+  std::mt19937 random(11);
+  const std::string configuration = kConfiguration;
+  const std::string entry =
+      R"({"service":"chat","address":"1.2.3.4:8080","zone":"z1","slots":4,)"
+      R"("state":"ready","cold_remaining_ms":10,"models":[{"name":"m",)"
+      R"("version":1,"adapters":["a1@1","a2@3"]}],"sequence":4,"born":99})";
+  const std::string report =
+      R"({"stage":"x","models":[{"name":"m","adapters":["a1@1"]}],)"
+      R"("sequence":2,"coming":["m/a7@1"],"born":99})";
+  const std::string rows =
+      R"({"rows":[{"table":"t","part":"","key":"k","value":"aGk=","ver":3}],)"
+      R"("has_more":false,"ver":5,"now_ms":1})";
+  for (int i = 0; i < 20'000; ++i) {
+    const auto mutate = [&random](std::string text) {
+      const int changes = 1 + static_cast<int>(random() % 3);
+      for (int c = 0; c < changes; ++c) {
+        const size_t at = random() % text.size();
+        switch (random() % 3) {
+          case 0:
+            text[at] = static_cast<char>(random());
+            break;
+          case 1:
+            text.erase(at, 1 + random() % 8);
+            break;
+          default:
+            text.insert(at, 1, "{}[]\",:0-e."[random() % 11]);
+        }
+        if (text.empty()) {
+          text = "x";
+        }
+      }
+      return text;
+    };
+    const auto parsed = ParseDeployment(mutate(configuration));
+    if (Failure(parsed) == nullptr) {
+      const Deployment& deployment = std::get<Deployment>(parsed);
+      BOOST_TEST(deployment.route_index.size() <= deployment.routes.size());
+    }
+    const auto runner = ParseRunnerEntry("i-1", mutate(entry));
+    if (Failure(runner) == nullptr) {
+      BOOST_TEST(std::get<RunnerEntry>(runner).id == "i-1");
+    }
+    ParseRunnerReport(mutate(report));
+    ParseRows(mutate(rows));
+    ParseNamedVersion(mutate(R"({"model":"m","adapter":"a","version":2})"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(entries_of_another_writer_name_no_backend_server) {
+  const std::vector<std::string> unreadable{
+      "",
+      "[]",
+      "{}",
+      "nonsense",
+      "\xff\xfe",
+      R"({"service":"s","address":"a","zone":"z","state":"resting"})",
+      R"({"service":7,"address":"a","zone":"z","state":"ready"})",
+      R"({"service":"s","zone":"z","state":"ready"})",
+      R"({"service":"s","address":"a","zone":"z","state":"ready","slots":"x"})",
+      R"({"service":"s","address":"a","zone":"z","state":"ready","models":3})"};
+  for (const std::string& text : unreadable) {
+    BOOST_TEST(Failure(ParseRunnerEntry("i", text)) != nullptr, text);
+  }
+  const auto leaving = ParseRunnerEntry(
+      "i", R"({"service":"s","address":"a","zone":"z","state":"draining"})");
+  BOOST_REQUIRE(Failure(leaving) == nullptr);
+  BOOST_TEST(std::get<RunnerEntry>(leaving).is_leaving);
+}
+
+BOOST_AUTO_TEST_CASE(adapters_carry_their_model_and_version) {
+  const auto parsed = ParseRunnerReport(
+      R"({"models":[{"name":"m","version":1,"adapters":["a1@1","a2@3"]}],)"
+      R"("sequence":6,"coming":["m/a7@2"],"born":5})");
+  BOOST_REQUIRE(Failure(parsed) == nullptr);
+  const auto& report = std::get<RunnerReport>(parsed);
+  const HeldAdapters held{{"m/a1", 1}, {"m/a2", 3}};
+  BOOST_TEST((report.adapters == held));
+  BOOST_TEST(report.coming.at("m/a7") == 2);
+  BOOST_TEST(report.order_count == 6);
+  const auto order = nlohmann::json::parse(
+      EncodeOrder({OrderKind::kLoad, "m/a7", 6, 41, "host"}));
+  BOOST_TEST(order["model"] == "m");
+  BOOST_TEST(order["adapter"] == "a7");
+  BOOST_TEST(order["expect"] == 6);
+  const auto base = nlohmann::json::parse(
+      EncodeOrder({OrderKind::kLoad, "m", 0, 41, "host"}));
+  BOOST_TEST(!base.contains("adapter"));
+}
+
+BOOST_AUTO_TEST_CASE(callers_cannot_set_the_systems_headers) {
+  const HttpRequest request = Request({{"Host", "a.example"},
+                                       {"X-Attempt-Id", "id1"},
+                                       {"Authorization", "Bearer k1"},
+                                       {"X-Tenant", "other"},
+                                       {"x-hold", "h"},
+                                       {"X-Pin-Ms", "1000"},
+                                       {"X-Kv-Backup", "1.1.1.1:1"},
+                                       {"Kv-From", "1.1.1.1:1/x"},
+                                       {"Kv-Fetch", "1.1.1.1:1"},
+                                       {"X-Expect-Instance", "i-other"},
+                                       {"X-Expect-Version", "9"},
+                                       {"X-Request-Urgency", "0"},
+                                       {"X-Deadline-Ms", "8000"},
+                                       {"Connection", "close, X-Local"},
+                                       {"X-Local", "1"},
+                                       {"Keep-Alive", "timeout=5"},
+                                       {"X-Model", "m/a1"},
+                                       {"X-Token-Usage", "146,80"},
+                                       {"X-Prompt-Prefix", "5c:80,91:41"},
+                                       {"X-Other", "stays"}});
+  RunnerCall call;
+  call.runner_id = "i-1";
+  call.customer = "marsu";
+  call.time_left = std::chrono::milliseconds(1234);
+  call.urgency = 3;
+  const Headers headers = RunnerHeaders(request, call);
+  for (const char* name : {"Authorization", "X-Hold", "X-Pin-Ms", "X-Kv-Backup",
+                           "Kv-From", "Kv-Fetch", "X-Expect-Version",
+                           "Connection", "X-Local", "Keep-Alive"}) {
+    BOOST_TEST(CountOf(headers, name) == 0, name);
+  }
+  const std::vector<std::pair<std::string, std::string>> expected{
+      {"X-Tenant", "marsu"},       {"X-Expect-Instance", "i-1"},
+      {"X-Deadline-Ms", "1234"},   {"X-Request-Urgency", "3"},
+      {"X-Attempt-Id", "id1"},     {"X-Model", "m/a1"},
+      {"X-Token-Usage", "146,80"}, {"X-Prompt-Prefix", "5c:80,91:41"},
+      {"X-Other", "stays"},        {"Host", "a.example"}};
+  for (const auto& [name, value] : expected) {
+    BOOST_TEST(CountOf(headers, name) == 1, name);
+    BOOST_TEST(HeaderOf(headers, name) == value, name);
+  }
+  // On an open route no customer is named, whatever the caller says.
+  call.customer.clear();
+  BOOST_TEST(CountOf(RunnerHeaders(request, call), "X-Tenant") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(callers_headers_are_read) {
+  const CallerHeaders full =
+      ParseCallerHeaders(Request({{"X-Attempt-Id", "id1"},
+                                  {"Authorization", "bearer  k1 "},
+                                  {"X-Model", "m/a1"},
+                                  {"X-Token-Usage", "146,80"},
+                                  {"X-Prompt-Prefix", "5c:80, 91:41"},
+                                  {"X-Deadline-Ms", "600"}}));
+  BOOST_TEST(full.key == "k1");
+  BOOST_TEST(full.model == "m");
+  BOOST_TEST(full.adapter == "m/a1");
+  BOOST_TEST(full.prompt_tokens == 146);
+  BOOST_TEST(full.output_tokens == 80);
+  BOOST_TEST(full.prompt.size() == 2U);
+  BOOST_TEST(full.prompt[1] == "91");
+  BOOST_TEST(Millis(*full.time_left) == 600);
+  const CallerHeaders odd =
+      ParseCallerHeaders(Request({{"Authorization", "Basic k1"},
+                                  {"X-Model", "m"},
+                                  {"X-Token-Usage", "146"},
+                                  {"X-Deadline-Ms", "soon"}}));
+  BOOST_TEST(odd.key.empty());
+  BOOST_TEST(odd.adapter.empty());
+  BOOST_TEST(!odd.states_tokens);
+  BOOST_TEST(!odd.time_left.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(answers_headers_are_read) {
+  HttpHead head;
+  head.status = 421;
+  head.headers = {
+      {"X-Attempt-Id", "id1"},      {"X-Not-Run", "1"},
+      {"X-Instance-Id", "i-2"},     {"Keep-Alive", "max=5, timeout=12"},
+      {"Connection", "keep-alive"}, {"Content-Length", "3"}};
+  const RunnerAnswer answer = ParseRunnerAnswer(head);
+  BOOST_TEST(answer.is_not_run);
+  BOOST_TEST(answer.is_other_runner);
+  BOOST_TEST(answer.runner_id == "i-2");
+  BOOST_TEST(Millis(*answer.keep_alive) == 12000);
+  const Headers passed = CallerAnswerHeaders(head);
+  BOOST_TEST(CountOf(passed, "Connection") == 0);
+  BOOST_TEST(CountOf(passed, "Content-Length") == 0);
+  BOOST_TEST(CountOf(passed, "X-Attempt-Id") == 1);
+  const Headers refusal = RefusalHeaders("id1", std::chrono::milliseconds(250));
+  BOOST_TEST(HeaderOf(refusal, "Retry-After") == "0.250");
+}
+
+BOOST_AUTO_TEST_CASE(rows_are_decoded) {
+  const auto parsed = ParseRows(
+      R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4},)"
+      R"({"key":"b","ver":5,"tombstone":true},{"key":"c","value":"","ver":6}],)"
+      R"("has_more":true,"ver":9})");
+  BOOST_REQUIRE(Failure(parsed) == nullptr);
+  const StoreRows& rows = std::get<StoreRows>(parsed);
+  BOOST_TEST(rows.version == 9);
+  BOOST_TEST(rows.has_more);
+  BOOST_TEST(rows.rows[0].value == "node-1");
+  BOOST_TEST(rows.rows[1].is_removed);
+  BOOST_TEST(rows.rows[2].value.empty());
+  BOOST_TEST(Failure(ParseRows(R"({"rows":[{"key":"a","value":"???"}]})")) !=
+             nullptr);
+  const auto written = nlohmann::json::parse(
+      EncodePuts("owners", {{"r1", "x", 0, false}, {"r2", "", 7, true}}));
+  BOOST_TEST(written["expect"][1]["ver"] == 7);
+  BOOST_TEST(written["put"].size() == 1U);
+  BOOST_TEST(written["remove"][0]["key"] == "r2");
+}
+
+BOOST_AUTO_TEST_CASE(operators_rows_are_told_apart) {
+  BOOST_TEST((ClassifyOperatorRow("config") == OperatorRow::kConfiguration));
+  BOOST_TEST((ClassifyOperatorRow("evacuate/z1") == OperatorRow::kZoneOut));
+  BOOST_TEST(ZoneOfRow("evacuate/z1") == "z1");
+  BOOST_TEST(
+      (ClassifyOperatorRow("version/m.a1") == OperatorRow::kAdapterVersion));
+  BOOST_TEST((ClassifyOperatorRow("other") == OperatorRow::kOther));
+}
+
+BOOST_AUTO_TEST_CASE(hosts_messages_survive_the_way) {
+  PeerMessage message;
+  message.session = "s";
+  message.address = "1.2.3.4:7600";
+  message.zone = "z1";
+  message.number = 5;
+  message.spent["marsu"] = 12.5;
+  message.loads["i-1"] = {3, 640};
+  message.used["i-1"] = {"m/a1"};
+  message.owned["i-2"] = {{"m/a2", 4}};
+  message.wishes = {{"i-3", "m/a3", 2, true}};
+  const std::string bytes = EncodePeerMessage(message);
+  const auto parsed = ParsePeerMessage(bytes);
+  BOOST_REQUIRE(Failure(parsed) == nullptr);
+  const PeerMessage& read = std::get<PeerMessage>(parsed);
+  BOOST_TEST(EncodePeerMessage(read) == bytes);
+  BOOST_TEST(read.owned.at("i-2").at("m/a2") == 4);
+  BOOST_TEST(read.wishes[0].is_missing);
+  std::mt19937 random(3);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string mutated = bytes;
+    mutated[random() % mutated.size()] = static_cast<char>(random());
+    mutated.resize(random() % (mutated.size() + 1));
+    ParsePeerMessage(mutated);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook::platform
--- /dev/null
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -0,0 +1,197 @@
+#include "rosemaryhook/runner_choice.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace rosemaryhook {
+namespace {
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(100)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+RunnerView View(const std::string& id, const std::string& zone = "z1") {
+  RunnerView view;
+  view.entry.id = id;
+  view.entry.service = "chat";
+  view.entry.zone = zone;
+  view.entry.slots = 128;
+  view.entry.models = {"m"};
+  view.is_owner_heard = true;
+  return view;
+}
+
+WantedRunner Wanted(const std::string& adapter) {
+  WantedRunner wanted;
+  wanted.service = "chat";
+  wanted.zone = "z1";
+  wanted.model = "m";
+  wanted.adapter = adapter;
+  wanted.affinity = "part";
+  wanted.has_engine = true;
+  return wanted;
+}
+
+RunnerViews Views(int count) {
+  RunnerViews views;
+  for (int i = 0; i < count; ++i) {
+    const std::string id = "i" + std::to_string(i);
+    views[id] = View(id);
+  }
+  return views;
+}
+
+BOOST_AUTO_TEST_SUITE(runner_choice)
+
+BOOST_AUTO_TEST_CASE(who_gets_no_new_work) {
+  const std::set<std::string> zones_out{"z2"};
+  struct Case {
+    std::string what;
+    std::function<void(RunnerView*)> change;
+    bool is_usable;
+  };
+  const std::vector<Case> cases{
+      {"as it is", [](RunnerView*) {}, true},
+      {"leaving", [](RunnerView* v) { v->entry.is_leaving = true; }, false},
+      {"gone", [](RunnerView* v) { v->gone_at = At(1); }, false},
+      {"zone out", [](RunnerView* v) { v->entry.zone = "z2"; }, false},
+      {"other service", [](RunnerView* v) { v->entry.service = "x"; }, false},
+      {"without the model", [](RunnerView* v) { v->entry.models.clear(); },
+       false},
+      {"tried", [](RunnerView* v) { v->entry.id = "tried"; }, false},
+      {"missing since an outage",
+       [](RunnerView* v) { v->lapsed_until = At(9); }, true},
+  };
+  for (const Case& test : cases) {
+    RunnerView view = View("i0");
+    test.change(&view);
+    WantedRunner wanted = Wanted("");
+    wanted.tried = {"tried"};
+    wanted.zones_out = &zones_out;
+    BOOST_TEST(IsUsable(view, wanted) == test.is_usable, test.what);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_is_preferred_and_its_version_counts) {
+  RunnerViews views = Views(4);
+  views["i2"].held["m/a"] = 1;
+  WantedRunner wanted = Wanted("m/a");
+  RunnerChoice choice = ChooseRunner(views, wanted, At(1));
+  BOOST_TEST(choice.is_resident);
+  BOOST_TEST(choice.runner->entry.id == "i2");
+  wanted.adapter_version = 2;
+  choice = ChooseRunner(views, wanted, At(1));
+  BOOST_TEST(!choice.is_resident);
+  BOOST_REQUIRE(choice.runner != nullptr);
+  // Only runners whose owner is heard can load.
+  for (auto& [id, view] : views) {
+    view.is_owner_heard = id == "i3";
+  }
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner->entry.id == "i3");
+  wanted.failed_home = "i3";
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(all_hosts_choose_the_same_home) {
+  RunnerViews here = Views(12);
+  RunnerViews there = Views(12);
+  // Small differences in what hosts know do not matter.
+  here["i3"].own.running = 2;
+  there["i5"].own.running = 3;
+  for (int i = 0; i < 200; ++i) {
+    const WantedRunner wanted = Wanted("m/a" + std::to_string(i));
+    BOOST_TEST(ChooseRunner(here, wanted, At(1)).runner->entry.id ==
+               ChooseRunner(there, wanted, At(1)).runner->entry.id);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_busy_holder_gives_way_and_gets_a_copy_elsewhere) {
+  RunnerViews views = Views(3);
+  views["i0"].held["m/a"] = 1;
+  views["i1"].held["m/a"] = 1;
+  views["i0"].own.prompt_tokens = 10'000;
+  const RunnerChoice spread = ChooseRunner(views, Wanted("m/a"), At(1));
+  BOOST_TEST(spread.runner->entry.id == "i1");
+  BOOST_TEST(spread.copy_to == nullptr);
+  views["i1"].own.prompt_tokens = 10'000;
+  const RunnerChoice copied = ChooseRunner(views, Wanted("m/a"), At(1));
+  BOOST_TEST(copied.is_resident);
+  BOOST_REQUIRE(copied.copy_to != nullptr);
+  BOOST_TEST(copied.copy_to->entry.id == "i2");
+}
+
+BOOST_AUTO_TEST_CASE(failing_and_unreachable_ones_are_used_last) {
+  RunnerViews views = Views(2);
+  for (int i = 0; i < 8; ++i) {
+    NoteAnswer(false, At(1), &views["i0"].health);
+    NoteAnswer(true, At(1), &views["i1"].health);
+  }
+  WantedRunner wanted = Wanted("");
+  wanted.has_engine = false;
+  wanted.model.clear();
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner->entry.id == "i1");
+  NoteUnreachable(At(1), &views["i1"].health);
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner->entry.id == "i0");
+  NoteUnreachable(At(1), &views["i0"].health);
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner != nullptr);
+  // Judgements fade.
+  BOOST_TEST(FailureShare(views["i0"].health) > 0.9);
+  NoteAnswer(true, At(40), &views["i0"].health);
+  BOOST_TEST(FailureShare(views["i0"].health) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(cold_ones_are_paced) {
+  RunnerViews views = Views(1);
+  views["i0"].cold_until = At(10);
+  RunnerChoice choice = ChooseRunner(views, Wanted(""), At(1));
+  BOOST_TEST(choice.runner == nullptr);
+  BOOST_TEST(choice.is_paced);
+  BOOST_TEST(choice.usable == 1);
+  views["i0"].cold_pace = {10, At(1)};
+  BOOST_TEST(ChooseRunner(views, Wanted(""), At(1)).runner != nullptr);
+  BOOST_TEST(ChooseRunner(Views(1), Wanted(""), At(11)).runner != nullptr);
+}
+
+// One adapter takes a fifth of all requests, the others follow a Zipf law;
+// prompts are read at the engines' speed. Compared with always the same home.
+BOOST_AUTO_TEST_CASE(skewed_popularity_does_not_queue_on_one_runner) {
+  constexpr int kRunners = 12;
+  constexpr double kPerSecond = 150;
+  constexpr double kPrompt = 650;
+  constexpr double kTokensPerSecond = 19'200;
+  std::mt19937 random(5);
+  std::vector<double> weights;
+  for (int rank = 1; rank <= 300; ++rank) {
+    weights.push_back(std::pow(rank, -1.2));
+  }
+  std::discrete_distribution<int> adapters(weights.begin(), weights.end());
+  RunnerViews views = Views(kRunners);
+  int in_time = 0;
+  int all = 0;
+  const double step = 1 / kPerSecond;
+  for (double now = 0; now < 30; now += step) {
+    for (auto& [id, view] : views) {
+      view.own.prompt_tokens =
+          std::max(0.0, view.own.prompt_tokens - kTokensPerSecond * step);
+    }
+    const WantedRunner wanted =
+        Wanted("m/a" + std::to_string(adapters(random)));
+    const RunnerChoice choice = ChooseRunner(views, wanted, At(now));
+    BOOST_REQUIRE(choice.runner != nullptr);
+    RunnerView& view = views[choice.runner->entry.id];
+    view.held[wanted.adapter] = 1;
+    if (choice.copy_to != nullptr) {
+      views[choice.copy_to->entry.id].held[wanted.adapter] = 1;
+    }
+    view.own.prompt_tokens += kPrompt;
+    ++all;
+    in_time += view.own.prompt_tokens / kTokensPerSecond < 0.7 ? 1 : 0;
+  }
+  BOOST_TEST(in_time >= 0.98 * all);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,7 +1,9 @@
 # Tests of decisions in virtual time, one ctest entry for each suite.
 set(UNIT_SUITES
-  api backend_state booking claims contact fleet_state membership placement
-  rates retries routing settings sheet suspects)
+  adapter_plan api backend_state booking claims contact deployment edge_state
+  event_cutter fleet_state http_io membership order_rights placement
+  platform_codec rates repeat_limits retries routing runner_choice settings
+  sheet suspects token_limits warm_up)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
