Hold customers to rate and burst in any window, not by a bucket

Its limit is rate x window + burst in any window; a bucket gives the burst only once, so tokens that it was owed were refused. Ruled out: messages between hosts (the other customers were refused 11 times in all). Change: hosts count the fleet's spending in a sliding window.

--- a/rosemaryhook/edge_peers.cc
+++ b/rosemaryhook/edge_peers.cc
@@ -85,10 +85,10 @@
               bool is_full,
               Told* told,
               PeerMessage* message) {
-  for (const auto& [customer, bucket] : edge.tokens.buckets) {
-    if (is_full || told->spent[customer] != bucket.spent_here) {
-      message->spent[customer] = bucket.spent_here;
-      told->spent[customer] = bucket.spent_here;
+  for (const auto& [customer, spending] : edge.tokens.customers) {
+    if (is_full || told->spent[customer] != spending.spent_here) {
+      message->spent[customer] = spending.spent_here;
+      told->spent[customer] = spending.spent_here;
     }
   }
 }
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -181,8 +181,8 @@
                 call.headers.prompt_tokens, call.headers.output_tokens);
   const Time now = Now();
   const TokenDecision decision =
-      SpendTokens(customer->second, cost, FleetQuorum(*call.edge, now), now,
-                  &call.edge->tokens);
+      SpendTokens(customer->second, cost, call.edge->settings.rate_window,
+                  FleetQuorum(*call.edge, now), now, &call.edge->tokens);
   if (decision.admitted) {
     return std::nullopt;
   }
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -123,6 +123,8 @@
       {"readiness", kAddress, false, SetAddress(&Settings::readiness)},
       {"order_lease_ms", "milliseconds from 0 to 60000", false,
        SetMillis(&Settings::order_lease, 0, 60'000)},
+      {"rate_window_ms", "milliseconds from 1000 to 15000", false,
+       SetMillis(&Settings::rate_window, 1'000, 15'000)},
       {"repeat_share", "a number from 0 to 10", false,
        SetNumber(&RepeatBounds::share, 0, 10)},
       {"repeat_reserve", "a number from 0 to 1000000", false,
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -42,6 +42,8 @@
   // Two hosts never give orders to one runner within this.
   Duration order_lease = std::chrono::seconds(3);
   RepeatBounds repeats;  // over all hosts
+  // A customer's rate and burst hold for any span of this length.
+  Duration rate_window = std::chrono::seconds(8);
 };
 
 Result<Settings> ParseSettings(const std::string& text,
--- a/rosemaryhook/token_limits.h
+++ b/rosemaryhook/token_limits.h
@@ -1,22 +1,25 @@
 // Rate and burst of each customer over all hosts, by counts that hosts tell
 // each other.
 //
-//   TokenDecision decision = SpendTokens(customer, cost, quorum, now, &limits);
+//   TokenDecision decision =
+//       SpendTokens(customer, cost, window, quorum, now, &limits);
 //   if (!decision.admitted) ... come back after decision.retry_after ...
 //   NotePeerSpending(peer, customer, total, now, &limits);   // from messages
 //
 // Load pattern: one customer sends many times its rate through every host at
-// once. Every host keeps the whole fleet's bucket and takes from it what it
-// admits itself and what the others say they admitted. What the others
-// admitted since their last message is the error; it is taken as soon as it is
-// heard, so it delays tokens but makes none. A host that hears only some of the
-// others fills its bucket with their part of the rate and its own, so parts of
-// a split fleet share the rate between them.
+// once. In any window no more than rate x window + burst are admitted. Every
+// host counts the whole fleet's spending: what it admits itself and what the
+// others say they admitted. What they admitted since their last message is the
+// error; it is counted as soon as it is heard, so it delays tokens but makes
+// none. A host that hears only some of the others uses their part of the limit
+// and its own, so parts of a split fleet share the limit between them.
 //
-// Cost: O(1) for each call. Memory: customers x hosts.
+// Cost: O(kSlots) for each call. Memory: customers x (kSlots + hosts).
 #ifndef ROSEMARYHOOK_TOKEN_LIMITS_H_
 #define ROSEMARYHOOK_TOKEN_LIMITS_H_
 
+#include <array>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -32,25 +35,32 @@
   int hosts = 1;
 };
 
-struct FleetBucket {
-  double level = 0;
-  Time updated;
+// What the fleet spent of one customer's tokens lately.
+struct FleetSpending {
+  static constexpr int kSlots = 64;
+  struct Slot {
+    int64_t number = -1;
+    double tokens = 0;
+  };
+  std::array<Slot, kSlots> slots;
   double spent_here = 0;  // since the start of this process
   std::map<std::string, double> spent_by_peer;  // session -> its newest total
 };
 
 struct TokenLimits {
   Time started;
-  std::map<std::string, FleetBucket> buckets;
+  std::map<std::string, FleetSpending> customers;
 };
 
 struct TokenDecision {
   bool admitted = false;
-  Duration retry_after{};  // when the bucket will have enough
+  Duration retry_after{};  // when there will be enough
 };
 
+// `window` is at most kSlots - 1 slots of a quarter of a second.
 TokenDecision SpendTokens(const CustomerRule& customer,
                           double cost,
+                          Duration window,
                           const Quorum& quorum,
                           Time now,
                           TokenLimits* limits);
