--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -58,7 +58,8 @@
 constexpr size_t kHomes = 3;
 constexpr double kAwayMs = 400;
 
-// A new copy is worth a load only if the wait is longer still.
+// A new copy is worth a load only if the wait is longer still: this much for an
+// adapter that is popular, so that the copy will be used again.
 constexpr double kCopyMs = 200;
 
 struct Candidate {
@@ -242,7 +243,9 @@
     choice.why = "resident";
     const Candidate* home =
         wanted.adapter.empty() ? nullptr : Home(candidates, wanted.failed_home);
-    if (home != nullptr && holder->score > home->score + kCopyMs) {
+    const double more = home == nullptr ? 0 : holder->score - home->score;
+    const bool is_popular = holder->view->own_adapters.contains(wanted.adapter);
+    if (more > (is_popular ? kCopyMs : kAwayMs)) {
       choice.copy_to = home->view;
     }
     return choice;
--- a/rosemaryhook/testing/runner_choice_test.cc
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -119,6 +119,13 @@
   BOOST_TEST(copied.is_resident);
   BOOST_REQUIRE(copied.copy_to != nullptr);
   BOOST_TEST(copied.copy_to->entry.id == "i2");
+  // A shorter queue is worth a copy only for a popular adapter.
+  views["i0"].own.prompt_tokens = 4'000;
+  views["i1"].own.prompt_tokens = 4'000;
+  BOOST_TEST(ChooseRunner(views, Wanted("m/a"), At(1)).copy_to == nullptr);
+  views["i0"].own_adapters["m/a"] = 1;
+  views["i1"].own_adapters["m/a"] = 1;
+  BOOST_TEST(ChooseRunner(views, Wanted("m/a"), At(1)).copy_to != nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(failing_and_unreachable_ones_are_used_last) {
