End the grace of lapsed entries on time; a late answer is no outage

Ruled out: entries written again after their removal (none in the logs). Change: an outage is a gap of 2.5 check-ins; the grace is checked at each send. Tests, failing before: edge_state/a_late_answer_of_the_store_is_no_outage, edge_state/an_entry_that_lapsed_in_an_outage_is_kept_for_a_while.

--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -32,7 +32,7 @@
 // A loop's contact with the store, for logs and for judging gaps.
 struct StoreContact {
   Time answered;  // the newest answer
-  Time regained;  // when it answered again after a gap
+  Time regained;  // when it answered again after entries may have lapsed
   bool is_lost = false;
 };
 
--- a/rosemaryhook/edge_call.cc
+++ b/rosemaryhook/edge_call.cc
@@ -109,7 +109,7 @@
              const EdgeCall& call) {
   const auto view = edge.runners.find(runner);
   return !call.is_gone && view != edge.runners.end() &&
-         view->second.gone_at == Time() && !view->second.entry.is_leaving &&
+         IsListed(view->second, Now()) &&
          !edge.zones_out.contains(view->second.entry.zone);
 }
 
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -255,7 +255,7 @@
   PendingLoad& pending = edge->pending_loads[key];
   const auto view = edge->runners.find(pending.runner);
   const bool is_standing = now < pending.until && view != edge->runners.end() &&
-                           IsUsable(view->second, wanted);
+                           IsUsable(view->second, wanted, now);
   if (!is_standing) {
     pending = {runner, Time(), now + kLoadLimit};
   }
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -34,8 +34,9 @@
 // Entries that lapsed in an outage are back within two seconds of its end.
 constexpr Duration kLapseSpan = std::chrono::milliseconds(2100);
 
-// A gap in the store's answers that may have let entries lapse.
-constexpr Duration kOutageSpan = std::chrono::milliseconds(1800);
+// An entry lapses after three check-ins that did not reach the store. A gap in
+// its answers that is shorter than this many check-ins can have let none lapse.
+constexpr double kLapseCheckIns = 2.5;
 
 // Backend servers that left are remembered this long, for answers under way.
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
@@ -43,18 +44,6 @@
 constexpr char kOwnerTable[] = "owners";
 constexpr char kHostTable[] = "hosts";
 
-void NoteAnswered(const char* what, Time now, StoreContact* contact) {
-  if (contact->is_lost) {
-    Log("store_regained",
-        {{"list", what}, {"gap_ms", Millis(now - contact->answered)}});
-  }
-  if (contact->answered != Time() && now - contact->answered > kOutageSpan) {
-    contact->regained = now;
-  }
-  contact->is_lost = false;
-  contact->answered = now;
-}
-
 void NoteLost(const char* what, const Error& error, StoreContact* contact) {
   if (!contact->is_lost) {
     Log("store_lost",
@@ -127,7 +116,7 @@
       pause = std::min(pause * 2, kLastPause);
       continue;
     }
-    NoteAnswered(loop.what, Now(), &contact);
+    NoteStoreAnswer(loop.what, edge->settings.heartbeat, Now(), &contact);
     pause = kFirstPause;
     if (std::holds_alternative<HistoryGone>(outcome)) {
       Log("store_history_gone", {{"list", loop.what}, {"after", after}});
@@ -292,7 +281,8 @@
       after = 0;
       continue;
     } else {
-      NoteAnswered(loop.what, Now(), &edge->owner_contact);
+      NoteStoreAnswer(loop.what, edge->settings.heartbeat, Now(),
+                      &edge->owner_contact);
       const StoreRows& rows = std::get<StoreRows>(outcome);
       after = std::max(after, rows.version);
       ApplyOwnerRows(rows, is_whole, asked, edge.get());
@@ -362,6 +352,21 @@
 
 }  // namespace
 
+void NoteStoreAnswer(const char* list,
+                     Duration heartbeat,
+                     Time now,
+                     StoreContact* contact) {
+  const Duration gap = now - contact->answered;
+  if (contact->is_lost) {
+    Log("store_regained", {{"list", list}, {"gap_ms", Millis(gap)}});
+  }
+  if (contact->answered != Time() && gap > heartbeat * kLapseCheckIns) {
+    contact->regained = now;
+  }
+  contact->is_lost = false;
+  contact->answered = now;
+}
+
 bool ApplyOperatorRow(const StoreRow& row, Time now, Edge* edge) {
   switch (platform::ClassifyOperatorRow(row.key)) {
     case platform::OperatorRow::kConfiguration: {
--- a/rosemaryhook/edge_store.h
+++ b/rosemaryhook/edge_store.h
@@ -14,6 +14,14 @@
 
 // Decisions of the loops, apart for tests.
 
+// The store answered for `list`. After a gap in which entries of backend
+// servers, which check in every `heartbeat`, may have lapsed, `regained` is
+// set.
+void NoteStoreAnswer(const char* list,
+                     Duration heartbeat,
+                     Time now,
+                     StoreContact* contact);
+
 // Takes in a row of the operators' table. False if it cannot be read: what was
 // in force before stays.
 bool ApplyOperatorRow(const StoreRow& row, Time now, Edge* edge);
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -101,7 +101,7 @@
   std::vector<Candidate> good;
   std::vector<Candidate> avoided;
   for (const auto& [id, view] : runners) {
-    if (!IsUsable(view, wanted)) {
+    if (!IsUsable(view, wanted, now)) {
       continue;
     }
     ++choice->usable;
@@ -209,9 +209,15 @@
          kMsPerRunning * load.running + kMsPerQueued * queued;
 }
 
-bool IsUsable(const RunnerView& view, const WantedRunner& wanted) {
-  return view.entry.service == wanted.service && !view.entry.is_leaving &&
-         view.gone_at == Time() && !wanted.tried.contains(view.entry.id) &&
+bool IsListed(const RunnerView& view, Time now) {
+  const bool has_lapsed =
+      view.lapsed_until != Time() && now >= view.lapsed_until;
+  return view.gone_at == Time() && !has_lapsed && !view.entry.is_leaving;
+}
+
+bool IsUsable(const RunnerView& view, const WantedRunner& wanted, Time now) {
+  return view.entry.service == wanted.service && IsListed(view, now) &&
+         !wanted.tried.contains(view.entry.id) &&
          (wanted.model.empty() || view.entry.models.contains(wanted.model)) &&
          !(wanted.zones_out != nullptr &&
            wanted.zones_out->contains(view.entry.zone));
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -94,8 +94,12 @@
   const std::set<std::string>* zones_out = nullptr;
 };
 
+// Whether the backend server is in the list, leavers apart. One that is missing
+// since an outage counts as listed for a while.
+bool IsListed(const RunnerView& view, Time now);
+
 // Whether new work may be sent to `view` at all.
-bool IsUsable(const RunnerView& view, const WantedRunner& wanted);
+bool IsUsable(const RunnerView& view, const WantedRunner& wanted, Time now);
 
 struct RunnerChoice {
   const RunnerView* runner = nullptr;
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -33,7 +33,7 @@
   Duration header_timeout = std::chrono::seconds(10);
   Duration answer_limit = std::chrono::seconds(120);
   Duration silence_limit = std::chrono::seconds(15);
-  Duration heartbeat = std::chrono::seconds(2);
+  Duration heartbeat = std::chrono::seconds(2);  // check-ins with the table
   Duration drain_limit = std::chrono::seconds(60);
   bool fault_injection = false;  // lets tests cut this host from peers
 
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -72,12 +72,12 @@
   WantedRunner wanted;
   wanted.service = "chat";
   ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
-  BOOST_TEST(IsUsable(edge.runners.at("i-1"), wanted));
+  BOOST_TEST(IsUsable(edge.runners.at("i-1"), wanted, At(2)));
   ApplyRunnerRow(Entry("i-1", "draining"), At(2), Time(), &edge);
-  BOOST_TEST(!IsUsable(edge.runners.at("i-1"), wanted));
+  BOOST_TEST(!IsUsable(edge.runners.at("i-1"), wanted, At(2)));
   ApplyRunnerRow(Entry("i-2"), At(1), Time(), &edge);
   ApplyRunnerRow({"i-2", "", 2, true}, At(2), Time(), &edge);
-  BOOST_TEST(!IsUsable(edge.runners.at("i-2"), wanted));
+  BOOST_TEST(!IsUsable(edge.runners.at("i-2"), wanted, At(2)));
   ApplyRunnerRow({"i-3", "garbage", 2, false}, At(2), Time(), &edge);
   BOOST_TEST(!edge.runners.contains("i-3"));
 }
@@ -88,15 +88,26 @@
   wanted.service = "chat";
   ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
   ApplyRunnerRow({"i-1", "", 2, true}, At(10), At(12), &edge);
-  ExpireRunners(At(11.9), &edge);
-  BOOST_TEST(IsUsable(edge.runners.at("i-1"), wanted));
-  ExpireRunners(At(12), &edge);
-  BOOST_TEST(!IsUsable(edge.runners.at("i-1"), wanted));
+  BOOST_TEST(IsUsable(edge.runners.at("i-1"), wanted, At(11.9)));
+  // Without any further look at the list.
+  BOOST_TEST(!IsUsable(edge.runners.at("i-1"), wanted, At(12)));
   ApplyRunnerRow(Entry("i-2"), At(1), Time(), &edge);
   ApplyRunnerRow({"i-2", "", 2, true}, At(10), At(12), &edge);
   ApplyRunnerRow(Entry("i-2"), At(11), At(12), &edge);
   ExpireRunners(At(13), &edge);
-  BOOST_TEST(IsUsable(edge.runners.at("i-2"), wanted));
+  BOOST_TEST(IsUsable(edge.runners.at("i-2"), wanted, At(13)));
+}
+
+// Seen on a day of the Mooring Works: one answer that came late counted as an
+// outage, and a backend server that had left was used for two seconds more.
+BOOST_AUTO_TEST_CASE(a_late_answer_of_the_store_is_no_outage) {
+  constexpr Duration kHeartbeat = std::chrono::milliseconds(1200);
+  StoreContact contact;
+  NoteStoreAnswer("runners", kHeartbeat, At(1), &contact);
+  NoteStoreAnswer("runners", kHeartbeat, At(3.5), &contact);
+  BOOST_TEST((contact.regained == Time()));
+  NoteStoreAnswer("runners", kHeartbeat, At(7), &contact);
+  BOOST_TEST((contact.regained == At(7)));
 }
 
 BOOST_AUTO_TEST_CASE(a_restart_under_the_same_id_forgets_what_was_held) {
--- a/rosemaryhook/testing/fleet.h
+++ b/rosemaryhook/testing/fleet.h
@@ -12,27 +12,15 @@
 #ifndef ROSEMARYHOOK_TESTING_FLEET_H_
 #define ROSEMARYHOOK_TESTING_FLEET_H_
 
-#include <sys/types.h>
-
-#include <functional>
-#include <future>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/testing/processes.h"
 
 namespace rosemaryhook::testing {
 
-struct Reply {
-  int status = 0;  // 0 if no whole answer came
-  std::map<std::string, std::string> headers;
-  std::string body;
-
-  std::string Header(const std::string& name) const;
-  Json Document() const { return Json::parse(body, nullptr, false); }
-};
-
 struct FleetOptions {
   int port = 21000;  // first of the 100 ports that the fleet uses
   int hosts = 3;
@@ -48,13 +36,6 @@
   std::string settings;  // further lines of each daemon's settings
 };
 
-// One process. Its log goes to a file of the fleet's folder.
-struct Process {
-  std::string name;
-  std::vector<std::string> command;
-  pid_t pid = 0;
-};
-
 class Fleet {
  public:
   explicit Fleet(FleetOptions options);
@@ -126,33 +107,6 @@
   std::map<std::string, Process> processes_;
 };
 
-// One HTTP exchange on a connection of its own.
-Reply Exchange(const std::string& address,
-               const std::string& method,
-               const std::string& target,
-               const std::map<std::string, std::string>& headers = {},
-               const std::string& body = "");
-
-// Two requests on one kept connection, with `between` run before the second.
-std::pair<Reply, Reply> ExchangeKept(
-    const std::string& address,
-    const std::string& target,
-    const std::map<std::string, std::string>& headers,
-    const std::string& body,
-    const std::function<void()>& between);
-
-// Sends raw bytes and returns what comes back until the other side closes.
-std::string SendRaw(const std::string& address, const std::string& bytes);
-
-// Whether `condition` came true within `limit_s` seconds.
-bool Await(int limit_s, const std::function<bool()>& condition);
-
-// Starts `job` on a thread of its own.
-template <typename Job>
-auto Async(Job job) {
-  return std::async(std::launch::async, std::move(job));
-}
-
 // The text that a fake runner's answer begins with.
 std::string ExpectedStart(const std::string& adapter,
                           const std::string& prompt);
--- a/rosemaryhook/testing/runner_choice_test.cc
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -62,6 +62,8 @@
       {"tried", [](RunnerView* v) { v->entry.id = "tried"; }, false},
       {"missing since an outage",
        [](RunnerView* v) { v->lapsed_until = At(9); }, true},
+      {"missing since an outage for too long",
+       [](RunnerView* v) { v->lapsed_until = At(5); }, false},
   };
   for (const Case& test : cases) {
     RunnerView view = View("i0");
@@ -69,7 +71,7 @@
     WantedRunner wanted = Wanted("");
     wanted.tried = {"tried"};
     wanted.zones_out = &zones_out;
-    BOOST_TEST(IsUsable(view, wanted) == test.is_usable, test.what);
+    BOOST_TEST(IsUsable(view, wanted, At(5)) == test.is_usable, test.what);
   }
 }
 
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -20,7 +20,7 @@
 # because what they wait for takes longer on a crowded machine.
 set(PROCESS_SUITES path failure booking backend)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
-  rosemaryhook/testing/fleet.cc)
+  rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc)
 foreach(suite ${PROCESS_SUITES})
   list(APPEND PROCESS_SOURCES rosemaryhook/testing/${suite}_process_test.cc)
 endforeach()
