Test the direct path with real processes before a stand-in of the platform

The stand-in plays the store with conditional rows and feeds, model runners that check order counts, and plain backend servers, with fault switches. Six tests: the whole path with refusals and callers' copies of the system's headers, what backend servers do to answers, operators' changes, the store away and orders unanswered, a runner that restarts empty, hosts that end. Found and mended: for about two seconds after hosts start together no runner has an owner, as they look at the owners once a second; a young host now looks four times as often.

--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -24,6 +24,11 @@
 // in which a leaving backend server must be left alone.
 constexpr Duration kListInterval = std::chrono::milliseconds(1000);
 
+// A host that has just started looks at the owners more often, so that runners
+// without one soon have one.
+constexpr Duration kYoungSpan = std::chrono::seconds(3);
+constexpr Duration kYoungInterval = std::chrono::milliseconds(250);
+
 // An answer of the store usually takes a few ms; a slow store takes 0.4 s.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(700);
 
@@ -290,7 +295,8 @@
       co_await ClaimRunners(edge);
       StartOwnedRunners(edge);
     }
-    co_await Sleep(kListInterval);
+    const bool is_young = Now() - edge->started < kYoungSpan;
+    co_await Sleep(is_young ? kYoungInterval : kListInterval);
   }
 }
 
--- /dev/null
+++ b/rosemaryhook/testing/direct_process_test.cc
@@ -0,0 +1,217 @@
+// The direct path with real processes before a stand-in of the platform.
+#include <signal.h>
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "rosemaryhook/testing/site.h"
+
+namespace rosemaryhook::testing {
+namespace {
+
+std::string WholeStream() {
+  std::string text;
+  for (int i = 1; i <= 10; ++i) {
+    text +=
+        "id: " + std::to_string(i) + "\ndata: e" + std::to_string(i) + "\n\n";
+  }
+  return text;
+}
+
+// Ids are never used twice.
+std::string NextId() {
+  static int next = 0;
+  return std::to_string(++next);
+}
+
+BOOST_AUTO_TEST_SUITE(direct)
+
+BOOST_AUTO_TEST_CASE(the_whole_path_serves_and_refuses_truthfully) {
+  Site site({.port = 25000, .hosts = 2});
+  // More adapters than the places of both runners, through both hosts.
+  for (int i = 0; i < 16; ++i) {
+    const std::string id = "ask-" + std::to_string(i);
+    const Reply reply = site.Ask(i % 2, id, "a" + std::to_string(i % 8));
+    BOOST_TEST(reply.status == 200, reply.body);
+    BOOST_TEST(reply.body == WholeStream());
+    BOOST_TEST(reply.Header("X-Server-Stamp") == "stamp-" + id);
+    BOOST_TEST(site.Runs(id) == 1);
+  }
+  const Reply booked = site.Book(0, "book-1");
+  BOOST_TEST(booked.status == 200);
+  BOOST_TEST(booked.body == "ok pig book-1");
+  struct Case {
+    std::string target;
+    std::map<std::string, std::string> headers;
+    int status;
+  };
+  const std::vector<Case> cases{
+      {"/chat/1", {{"X-Attempt-Id", "r1"}, {"Authorization", "Bearer x"}}, 401},
+      {"/chat/1", {{"X-Attempt-Id", "r2"}, {"Authorization", ""}}, 401},
+      {"/nowhere/1", {{"X-Attempt-Id", "r3"}}, 404},
+      {"/chat/1", {{"X-Attempt-Id", "r4"}, {"Host", "b.example"}}, 404},
+      {"/chat/1", {}, 400},
+      {"/look/1",
+       {{"X-Attempt-Id", "r6"},
+        {"X-Hold", "h"},
+        {"X-Tenant", "x"},
+        {"Kv-From", "y"}},
+       200},
+  };
+  for (const Case& test : cases) {
+    BOOST_TEST(
+        site.Send(0, test.target, test.headers, "").status == test.status,
+        test.target);
+  }
+  const Json ledger = site.Ledger();
+  BOOST_TEST(ledger["leaks"] == "");
+  BOOST_TEST(ledger["customers"]["r6"] == "marsu");
+  for (const auto& [runner, most] : ledger["most_held"].items()) {
+    BOOST_TEST(most.get<int>() <= 3, runner);
+  }
+  const std::string metrics =
+      Exchange(site.Operators(0), "GET", "/metrics").body;
+  BOOST_TEST(metrics.find("rosemaryhook_requests_total{status=\"200\"}") !=
+             std::string::npos);
+  BOOST_TEST(site.LogOf(0).find("event=served id=ask-0 ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(what_backend_servers_do_to_answers) {
+  Site site({.port = 25100, .hosts = 1, .services = 2});
+  // A refusal that says not run goes to another one, also for a booking.
+  site.Fault({{"not_run", 1}});
+  BOOST_TEST(site.Book(0, "b1").status == 200);
+  BOOST_TEST(site.Runs("b1") == 1);
+  // An answer that never came is no success and no "not run".
+  site.Fault({{"mute", 1}});
+  BOOST_TEST(site.Book(0, "b2").status == 502);
+  BOOST_TEST(site.Runs("b2") == 1);
+  // A request that may be repeated is.
+  site.Fault({{"mute", 1}});
+  BOOST_TEST(site.Send(0, "/look/1", {{"X-Attempt-Id", "l1"}}, "").status ==
+             200);
+  BOOST_TEST(site.Runs("l1") == 2);
+  // A backend server's own failure keeps its status and stamp.
+  site.Fault({{"fail", 1}});
+  const Reply failed = site.Book(0, "b3");
+  BOOST_TEST(failed.status == 500);
+  BOOST_TEST(failed.Header("X-Server-Stamp") == "stamp-b3");
+  // A stream that breaks off never looks whole; where it may be continued, it
+  // is, each event once.
+  BOOST_TEST(site.Ask(0, "warm", "a1").status == 200);
+  site.Fault({{"cut", 1}});
+  BOOST_TEST(site.Ask(0, "s1", "a1").status == 0);
+  BOOST_TEST(site.Runs("s1") == 1);
+  site.Fault({{"cut", 1}});
+  const Reply resumed = site.AskResumable(0, "s2", "a1");
+  BOOST_TEST(resumed.status == 200);
+  BOOST_TEST(resumed.body == WholeStream());
+  BOOST_TEST(site.Runs("s2") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(operators_changes_take_effect) {
+  Site site({.port = 25200, .hosts = 2});
+  BOOST_TEST(site.Book(0, "b1").status == 200);
+  // A withdrawn key.
+  site.Configure(2, {"key-other"});
+  for (int host = 0; host < 2; ++host) {
+    BOOST_TEST(Await(3, [&] {
+      return site.Book(host, "w" + std::to_string(host)).status == 401;
+    }));
+  }
+  site.Configure(3, {"key-marsu"});
+  BOOST_TEST(Await(3, [&] { return site.Book(1, "b2").status == 200; }));
+  // An older configuration does not come back.
+  site.Configure(1, {"key-other"});
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(site.Book(0, "b3").status == 200);
+  // A zone out, and back.
+  site.Set("op", "evacuate/zone-0", Json::object());
+  BOOST_TEST(
+      Await(3, [&] { return site.Book(0, "z" + NextId()).status == 503; }));
+  site.Unset("op", "evacuate/zone-0");
+  BOOST_TEST(
+      Await(3, [&] { return site.Book(0, "y" + NextId()).status == 200; }));
+  // A backend server that leaves gets nothing more.
+  site.Fault({{"leave", "i-0"}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+  const std::string before = site.LogOf(0);
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(site.Ask(0, "left" + std::to_string(i), "a" + std::to_string(i))
+                   .status == 200);
+  }
+  BOOST_TEST(site.LogOf(0).substr(before.size()).find("runner=i-0 sends") ==
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(the_store_away_and_orders_unanswered) {
+  Site site({.port = 25300, .hosts = 2});
+  BOOST_TEST(site.Ask(0, "a", "a1").status == 200);
+  for (const char* fault : {"store_down", "store_silent"}) {
+    site.Fault({{fault, true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    // What is in force goes on, loads included.
+    for (int i = 0; i < 4; ++i) {
+      const std::string id = std::string(fault) + std::to_string(i);
+      BOOST_TEST(site.Ask(i % 2, id, "n" + id).status == 200);
+      BOOST_TEST(site.Book(i % 2, "b" + id).status == 200);
+    }
+    site.Fault({{fault, false}});
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  }
+  site.Fault({{"lose_orders", 3}});
+  BOOST_TEST(site.Ask(0, "late", "lost1").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_runner_that_restarts_empty_is_loaded_again) {
+  Site site({.port = 25400, .hosts = 1, .runners = 1});
+  BOOST_TEST(site.Ask(0, "a", "a1").status == 200);
+  site.Fault({{"restart", "i-0"}});
+  BOOST_TEST(Await(
+      15, [&] { return site.Ask(0, "b" + NextId(), "a1").status == 200; }));
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_end_cut_nothing_and_are_replaced) {
+  Site site({.port = 25500, .hosts = 2});
+  BOOST_TEST(site.Ask(0, "a", "a1").status == 200);
+  BOOST_TEST(site.Ask(1, "b", "a1").status == 200);
+  // Graceful: streams under way end whole, and new ones are still read.
+  std::vector<std::future<Reply>> streams;
+  for (int i = 0; i < 4; ++i) {
+    streams.push_back(
+        Async([&, i] { return site.Ask(0, "t" + std::to_string(i), "a1"); }));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  auto ended = Async([&] { return site.Terminate(site.host(0)); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(Exchange(site.Readiness(0), "GET", "/v1/readyz").status == 503);
+  BOOST_TEST(site.Ask(0, "after", "a1").status == 200);
+  for (auto& stream : streams) {
+    BOOST_TEST(stream.get().body == WholeStream());
+  }
+  BOOST_TEST(ended.get() == 0);
+  // The host that is back, or the one that stayed, gives the orders; their
+  // fence numbers only grow.
+  site.Start(site.host(0));
+  BOOST_TEST(site.AwaitReady(0));
+  site.Kill(site.host(1));
+  site.Start(site.host(1));
+  BOOST_TEST(site.AwaitReady(1));
+  for (int i = 0; i < 8; ++i) {
+    BOOST_TEST(Await(20, [&] {
+      return site.Ask(i % 2, "k" + NextId(), "k" + std::to_string(i)).status ==
+             200;
+    }));
+  }
+  std::map<std::string, int64_t> fences;
+  for (const Json& order : site.Ledger()["orders"]) {
+    int64_t& fence = fences[order["runner"].get<std::string>()];
+    BOOST_TEST(order["fence"].get<int64_t>() >= fence);
+    fence = order["fence"].get<int64_t>();
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook::testing
--- /dev/null
+++ b/rosemaryhook/testing/site.cc
@@ -0,0 +1,215 @@
+#include "rosemaryhook/testing/site.h"
+
+#include <fmt/core.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace rosemaryhook::testing {
+namespace {
+
+constexpr char kKey[] = "key-marsu";
+constexpr char kDeadlineMs[] = "4000";
+
+Json RouteJson(const std::string& name,
+               const std::string& service,
+               const std::string& kind,
+               bool is_resumable) {
+  return {{"name", name},
+          {"host", "a.example"},
+          {"prefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeout_ms", 4000},
+          {"target_latency_ms", 800},
+          {"priority", 1},
+          {"service", service},
+          {"max_attempts", 2},
+          {"resumable", is_resumable}};
+}
+
+}  // namespace
+
+Site::Site(SiteOptions options) : options_(options) {
+  folder_ = (std::filesystem::temp_directory_path() /
+             fmt::format("rosemaryhook-site-{}-{}", getpid(), options_.port))
+                .string();
+  std::filesystem::create_directories(folder_);
+  platform_ = {"platform",
+               {Program("fake_site"), "--port", std::to_string(options_.port),
+                "--runners", std::to_string(options_.runners), "--services",
+                std::to_string(options_.services)},
+               0};
+  Start(platform_);
+  Await(30,
+        [&] { return Exchange(Address(0), "GET", "/ledger").status == 200; });
+  Configure(1, {kKey});
+  for (int i = 0; i < options_.hosts; ++i) {
+    const std::string file = fmt::format("{}/host{}.yaml", folder_, i);
+    std::ofstream(file) << Settings(i);
+    hosts_.push_back({fmt::format("host{}", i),
+                      {Program("rosemaryhookd"), "--settings", file},
+                      0});
+  }
+  for (Process& host : hosts_) {
+    Start(host);
+  }
+  for (int i = 0; i < options_.hosts; ++i) {
+    AwaitReady(i);
+  }
+  Await(30, [&] { return RunnersOwned() == options_.runners; });
+}
+
+Site::~Site() {
+  for (Process& host : hosts_) {
+    Kill(host);
+  }
+  Kill(platform_);
+  if (std::getenv("ROSEMARYHOOK_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(folder_);
+  }
+}
+
+std::string Site::Address(int offset) const {
+  return fmt::format("127.0.0.1:{}", options_.port + offset);
+}
+
+std::string Site::Settings(int host) const {
+  return fmt::format(
+      "host: entry-{}\nzone: zone-{}\nserving: direct\ncallers: {}\n"
+      "readiness: {}\npeers: {}\noperators: {}\ntable: {}\n"
+      "heartbeat_ms: 500\ndrain_limit_ms: 8000\norder_lease_ms: 1000\n",
+      host, host % 2, Callers(host), Readiness(host), Address(50 + host),
+      Operators(host), Address(0));
+}
+
+void Site::Start(Process& process) {
+  const std::string log = folder_ + "/" + process.name + ".log";
+  process.pid = Spawn(process.command, log, log);
+}
+
+void Site::Kill(Process& process) {
+  if (process.pid > 0) {
+    kill(process.pid, SIGKILL);
+    WaitFor(process.pid);
+    process.pid = 0;
+  }
+}
+
+int Site::Terminate(Process& process) {
+  kill(process.pid, SIGTERM);
+  const int exit_code = WaitFor(process.pid);
+  process.pid = 0;
+  return exit_code;
+}
+
+Reply Site::Send(int host,
+                 const std::string& target,
+                 std::map<std::string, std::string> headers,
+                 const std::string& body) {
+  headers.try_emplace("Host", "a.example");
+  headers.try_emplace("Authorization", std::string("Bearer ") + kKey);
+  headers.try_emplace("X-Deadline-Ms", kDeadlineMs);
+  return Exchange(Callers(host), "POST", target, headers, body);
+}
+
+Reply Site::Ask(int host, const std::string& id, const std::string& adapter) {
+  return Send(host, "/chat/1",
+              {{"X-Attempt-Id", id},
+               {"X-Model", "base/" + adapter},
+               {"X-Token-Usage", "100,50"}},
+              "prompt " + id);
+}
+
+Reply Site::AskResumable(int host,
+                         const std::string& id,
+                         const std::string& adapter) {
+  return Send(host, "/note/1",
+              {{"X-Attempt-Id", id},
+               {"X-Model", "base/" + adapter},
+               {"X-Token-Usage", "100,50"}},
+              "prompt " + id);
+}
+
+Reply Site::Book(int host, const std::string& id) {
+  return Send(host, "/book/1", {{"X-Attempt-Id", id}}, "pig " + id);
+}
+
+void Site::Configure(int version, const std::vector<std::string>& keys) {
+  const Json engine{{"slots", 8},
+                    {"weight_size", 1200.0},
+                    {"adapter_slots", 3},
+                    {"loads_per_s", 10.0},
+                    {"models", Json::array({{{"name", "base"},
+                                             {"weight_size", 1000.0},
+                                             {"adapter_mb", 40.0}}})}};
+  Set("op", "config",
+      {{"version", version},
+       {"routes",
+        Json::array({RouteJson("chat", "chat", "streaming", false),
+                     RouteJson("note", "chat", "streaming", true),
+                     RouteJson("look", "booking", "idempotent", false),
+                     RouteJson("book", "booking", "non_idempotent", false)})},
+       {"services",
+        Json::array({{{"name", "chat"},
+                      {"max_connections", 100},
+                      {"cold_per_s", 20.0},
+                      {"engine", engine}},
+                     {{"name", "booking"}, {"max_connections", 100}}})},
+       {"tenants", Json::array({{{"name", "marsu"},
+                                 {"api_keys", keys},
+                                 {"unit", "token_count"},
+                                 {"plain_tokens", 10},
+                                 {"rate_per_s", options_.rate},
+                                 {"burst", options_.burst}}})}});
+}
+
+void Site::Set(const std::string& table,
+               const std::string& key,
+               const Json& value) {
+  const Json body{{"table", table}, {"key", key}, {"value", value}};
+  Exchange(Address(0), "POST", "/set", {}, body.dump());
+}
+
+void Site::Unset(const std::string& table, const std::string& key) {
+  const Json body{{"table", table}, {"key", key}};
+  Exchange(Address(0), "POST", "/unset", {}, body.dump());
+}
+
+void Site::Fault(const Json& fault) {
+  Exchange(Address(0), "POST", "/fault", {}, fault.dump());
+}
+
+Json Site::Ledger() const {
+  return Exchange(Address(0), "GET", "/ledger").Document();
+}
+
+int Site::Runs(const std::string& id) const {
+  return Ledger()["runs"].value(id, 0);
+}
+
+std::string Site::LogOf(int host) const {
+  return ReadAll(folder_ + "/" + hosts_.at(host).name + ".log");
+}
+
+int Site::RunnersOwned() const {
+  constexpr std::string_view kGauge = "\nrosemaryhook_runners_owned ";
+  int owned = 0;
+  for (int i = 0; i < options_.hosts; ++i) {
+    const std::string text = Exchange(Operators(i), "GET", "/metrics").body;
+    const size_t at = text.find(kGauge);
+    owned += at == std::string::npos
+                 ? 0
+                 : std::stoi(text.substr(at + kGauge.size(), 8));
+  }
+  return owned;
+}
+
+bool Site::AwaitReady(int host) const {
+  return Await(30, [&] {
+    return Exchange(Readiness(host), "GET", "/v1/readyz").status == 200;
+  });
+}
+
+}  // namespace rosemaryhook::testing
--- /dev/null
+++ b/rosemaryhook/testing/site.h
@@ -0,0 +1,82 @@
+// A stand-in of the users' platform and daemons in front of it, as real
+// processes on loopback.
+//
+//   Site site({.port = 25000, .hosts = 2});
+//   Reply reply = site.Ask(0, "id-1", "a1");     // a stream of a model runner
+//   Reply booked = site.Book(1, "id-2");         // may run once
+//   site.Fault({{"cut", 1}});
+//
+// Everything is ended by the destructor, by the process ids that it started.
+#ifndef ROSEMARYHOOK_TESTING_SITE_H_
+#define ROSEMARYHOOK_TESTING_SITE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/testing/processes.h"
+
+namespace rosemaryhook::testing {
+
+struct SiteOptions {
+  int port = 25000;  // first of the 100 ports that the site uses
+  int hosts = 2;
+  int runners = 2;
+  int services = 1;
+  double rate = 1e6;
+  double burst = 1e6;
+};
+
+class Site {
+ public:
+  explicit Site(SiteOptions options);
+  ~Site();
+  Site(const Site&) = delete;
+  Site& operator=(const Site&) = delete;
+
+  Process& host(int i) { return hosts_.at(i); }
+  std::string Callers(int i) const { return Address(30 + i); }
+  std::string Readiness(int i) const { return Address(40 + i); }
+  std::string Operators(int i) const { return Address(60 + i); }
+
+  void Start(Process& process);
+  void Kill(Process& process);
+  int Terminate(Process& process);
+
+  // Requests with the key of customer marsu.
+  Reply Ask(int host, const std::string& id, const std::string& adapter);
+  Reply AskResumable(int host,
+                     const std::string& id,
+                     const std::string& adapter);
+  Reply Book(int host, const std::string& id);
+  Reply Send(int host,
+             const std::string& target,
+             std::map<std::string, std::string> headers,
+             const std::string& body);
+
+  // Writes of the operator.
+  void Configure(int version, const std::vector<std::string>& keys);
+  void Set(const std::string& table, const std::string& key, const Json& value);
+  void Unset(const std::string& table, const std::string& key);
+
+  void Fault(const Json& fault);
+  Json Ledger() const;
+  int Runs(const std::string& id) const;  // how often a request ran
+  std::string LogOf(int host) const;
+  bool AwaitReady(int host) const;
+  int RunnersOwned() const;  // by all hosts
+
+ private:
+  std::string Address(int offset) const;
+  std::string Settings(int host) const;
+
+  SiteOptions options_;
+  std::string folder_;
+  Process platform_;
+  std::vector<Process> hosts_;
+};
+
+}  // namespace rosemaryhook::testing
+
+#endif  // ROSEMARYHOOK_TESTING_SITE_H_
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -18,9 +18,10 @@
 
 # Tests with real processes. Each uses its own ports; they run one at a time,
 # because what they wait for takes longer on a crowded machine.
-set(PROCESS_SUITES path failure booking backend)
+set(PROCESS_SUITES path failure booking backend direct)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
-  rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc)
+  rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
+  rosemaryhook/testing/site.cc)
 foreach(suite ${PROCESS_SUITES})
   list(APPEND PROCESS_SOURCES rosemaryhook/testing/${suite}_process_test.cc)
 endforeach()
@@ -31,7 +32,7 @@
   ROSEMARYHOOK_PROGRAMS="$<TARGET_FILE_DIR:rosemaryhookd>")
 target_precompile_headers(process_tests REUSE_FROM rosemaryhook)
 add_dependencies(process_tests rosemaryhookd rosemaryhookctl fake_platform
-  fake_runner fake_service)
+  fake_runner fake_service fake_site)
 set(PROCESS_TESTS
   path/requests_and_refusals
   path/unreadable_requests
@@ -61,7 +62,13 @@
   backend/a_request_that_crashes_runners_is_refused
   backend/a_connection_gone_silent_is_left
   backend/a_wrong_or_cut_answer_is_never_passed_off_as_whole
-  backend/an_engine_without_fencing_changes_owner_safely)
+  backend/an_engine_without_fencing_changes_owner_safely
+  direct/the_whole_path_serves_and_refuses_truthfully
+  direct/what_backend_servers_do_to_answers
+  direct/operators_changes_take_effect
+  direct/the_store_away_and_orders_unanswered
+  direct/a_runner_that_restarts_empty_is_loaded_again
+  direct/hosts_that_end_cut_nothing_and_are_replaced)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
