--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -231,6 +231,7 @@
   const Json value{{"session", edge->session},
                    {"address", edge->settings.peers}};
   std::vector<ConditionalPut> puts;
+  puts.reserve(claims.size());
   for (const OwnerClaim& claim : claims) {
     puts.push_back({claim.runner, value.dump(), claim.expected, false});
   }
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -126,7 +126,7 @@
 }
 
 // The first in the rendezvous order whose wait is within `slack` of the least.
-const Candidate* FirstWithin(std::vector<const Candidate*> candidates,
+const Candidate* FirstWithin(const std::vector<const Candidate*>& candidates,
                              double slack) {
   const Candidate* least = Least(candidates);
   if (least == nullptr) {
@@ -161,10 +161,10 @@
                       return a->weight > b->weight;
                     });
   homes.resize(count);
-  const Candidate* home = FirstWithin(std::move(homes), kHomeMs);
+  const Candidate* home = FirstWithin(homes, kHomeMs);
   const Candidate* least = Least(loadable);
   const bool is_busy = home != nullptr && home->score > least->score + kAwayMs;
-  return is_busy ? FirstWithin(std::move(loadable), kHomeMs) : home;
+  return is_busy ? FirstWithin(loadable, kHomeMs) : home;
 }
 
 }  // namespace
--- a/rosemaryhook/testing/direct_process_test.cc
+++ b/rosemaryhook/testing/direct_process_test.cc
@@ -177,6 +177,7 @@
   BOOST_TEST(site.Ask(1, "b", "a1").status == 200);
   // Graceful: streams under way end whole, and new ones are still read.
   std::vector<std::future<Reply>> streams;
+  streams.reserve(4);
   for (int i = 0; i < 4; ++i) {
     streams.push_back(
         Async([&, i] { return site.Ask(0, "t" + std::to_string(i), "a1"); }));
--- a/rosemaryhook/testing/warm_up_test.cc
+++ b/rosemaryhook/testing/warm_up_test.cc
@@ -17,10 +17,12 @@
   constexpr double kPerSecond = 21;
   for (const int count : {1, 2, 8, 79}) {
     std::vector<std::string> hosts;
+    hosts.reserve(count);
     for (int i = 0; i < count; ++i) {
       hosts.push_back("10.0.0." + std::to_string(i) + ":7600");
     }
     std::vector<ColdPace> paces;
+    paces.reserve(count);
     for (const std::string& host : hosts) {
       paces.push_back(PaceFor("i-1", kPerSecond, hosts, host));
     }
