Count a customer's window exactly and give back what did not run

Ruled out: too small a part for a split fleet (all hosts heard each other). Change: the oldest slot counts as far as it is within the window; tokens of a request that nobody ran go back, at peers too, whose totals come in order.

--- a/rosemaryhook/edge_call.h
+++ b/rosemaryhook/edge_call.h
@@ -25,6 +25,7 @@
   const RouteRule* route = nullptr;
   const ServiceRule* service = nullptr;
   std::string customer;  // empty on open routes
+  double cost = 0;       // tokens taken from its limit
   int urgency = 5;
   std::string shared_prompt;  // key of what others share of the prompt
   double shared_tokens = 0;   // of that
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -194,7 +194,7 @@
   return std::nullopt;
 }
 
-std::optional<EdgeRefusal> Admit(const EdgeCall& call) {
+std::optional<EdgeRefusal> Admit(EdgeCall& call) {
   const auto customer = call.deployment->customers.find(call.customer);
   if (customer == call.deployment->customers.end()) {
     return std::nullopt;
@@ -207,6 +207,7 @@
       SpendTokens(customer->second, cost, call.edge->settings.rate_window,
                   FleetQuorum(*call.edge, now), now, &call.edge->tokens);
   if (decision.admitted) {
+    call.cost = cost;
     return std::nullopt;
   }
   return Refuse(429, "over_rate", std::max(decision.retry_after, kShortReturn));
@@ -340,8 +341,17 @@
   return NextStep::kGiveUp;
 }
 
+// Tokens of a request that no backend server ran go back to its customer.
+void ReturnTokens(const EdgeCall& call) {
+  const auto customer = call.deployment->customers.find(call.customer);
+  if (call.runs == 0 && customer != call.deployment->customers.end()) {
+    RefundTokens(customer->second, call.cost, Now(), &call.edge->tokens);
+  }
+}
+
 // The final answer of a request that was not served.
 awaitable<void> GiveUp(EdgeCall& call, AttemptOutcome outcome) {
+  ReturnTokens(call);
   if (call.is_begun) {
     LogEnd(call, "cut", 0, outcome.why);
     call.reply.Abort();
--- a/rosemaryhook/token_limits.cc
+++ b/rosemaryhook/token_limits.cc
@@ -1,7 +1,8 @@
 // A sliding window whose sum every host computes from the same counts. Totals
-// rather than amounts travel, so lost, doubled and reordered messages do no
-// harm. The slots that a window touches are one more than fit into it, so the
-// sum is never too low.
+// rather than amounts travel, so lost and doubled messages do no harm. The
+// oldest slot counts as far as it lies within the window, as if its tokens had
+// been spent evenly: a sum that was always too high would refuse customers what
+// they are owed, all the time that they ask for more than their rate.
 #include "rosemaryhook/token_limits.h"
 
 #include <algorithm>
@@ -32,14 +33,19 @@
   slot.tokens += tokens;
 }
 
-bool IsWithin(const FleetSpending::Slot& slot, int64_t span, int64_t newest) {
-  return slot.number >= newest - span && slot.number <= newest;
-}
-
-double Sum(const FleetSpending& spending, int64_t span, int64_t newest) {
+// Tokens of the window of `span` slots that ends now.
+double Sum(const FleetSpending& spending, int64_t span, Time now) {
+  const int64_t newest = SlotNumber(now);
+  const Duration into_slot = now.time_since_epoch() - kSlotSpan * newest;
+  const double oldest_part = 1 - std::chrono::duration<double>(into_slot) /
+                                     std::chrono::duration<double>(kSlotSpan);
   double sum = 0;
   for (const FleetSpending::Slot& slot : spending.slots) {
-    sum += IsWithin(slot, span, newest) ? slot.tokens : 0;
+    if (slot.number == newest - span) {
+      sum += oldest_part * slot.tokens;
+    } else if (slot.number > newest - span && slot.number <= newest) {
+      sum += slot.tokens;
+    }
   }
   return sum;
 }
@@ -70,7 +76,7 @@
   return full * used / (by_rate + by_burst);
 }
 
-// How long until slots that hold `excess` tokens have left the window.
+// How long until `excess` tokens have left the window, slot by slot.
 Duration UntilFreed(const FleetSpending& spending,
                     int64_t span,
                     Time now,
@@ -78,11 +84,17 @@
   const int64_t newest = SlotNumber(now);
   for (int64_t number = newest - span; number <= newest; ++number) {
     const auto& slot = spending.slots[number % FleetSpending::kSlots];
-    excess -= slot.number == number ? slot.tokens : 0;
-    if (excess <= 0) {
-      const Time freed = Time(kSlotSpan * (number + span + 1));
-      return std::max(freed - now, Duration::zero());
+    const double tokens = slot.number == number ? slot.tokens : 0;
+    const Time leaving = std::max(now, Time(kSlotSpan * (number + span)));
+    const Time left = Time(kSlotSpan * (number + span + 1));
+    const double part = std::chrono::duration<double>(left - leaving) /
+                        std::chrono::duration<double>(kSlotSpan);
+    if (tokens > 0 && excess <= tokens * part) {
+      const double slots = excess / tokens;
+      return leaving - now +
+             Duration(static_cast<int64_t>(slots * kSlotSpan.count()));
     }
+    excess -= tokens * part;
   }
   return kSlotSpan * (span + 1);
 }
@@ -104,7 +116,7 @@
   const Duration age = now - limits->started;
   const double full = FullLimit(customer, window, quorum);
   const double limit = YoungLimit(customer, window, full, age);
-  const double sum = Sum(spending, span, SlotNumber(now));
+  const double sum = Sum(spending, span, now);
   // A request above the whole limit can only ever be paid from an empty window.
   const double excess = sum + std::min(cost, full) - limit;
   if (excess > 0 && age < window) {
@@ -130,10 +142,20 @@
     known->second = total;
     return;
   }
-  if (total > known->second) {
-    Count(total - known->second, now, &spending);
-    known->second = total;
+  Count(total - known->second, now, &spending);
+  known->second = total;
+}
+
+void RefundTokens(const CustomerRule& customer,
+                  double cost,
+                  Time now,
+                  TokenLimits* limits) {
+  if (customer.rate <= 0) {
+    return;
   }
+  FleetSpending& spending = limits->customers[customer.name];
+  Count(-cost, now, &spending);
+  spending.spent_here -= cost;
 }
 
 double TokenCost(const CustomerRule& customer,
--- a/rosemaryhook/token_limits.h
+++ b/rosemaryhook/token_limits.h
@@ -65,7 +65,14 @@
                           Time now,
                           TokenLimits* limits);
 
-// Takes in a peer's total; totals that are not newer change nothing.
+// Gives back what a request cost that surely did not run.
+void RefundTokens(const CustomerRule& customer,
+                  double cost,
+                  Time now,
+                  TokenLimits* limits);
+
+// Takes in a peer's total, which falls when the peer gave tokens back. Callers
+// see to it that totals come in the order in which they were told.
 void NotePeerSpending(const std::string& peer,
                       const std::string& customer,
                       double total,
