--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -76,6 +76,6 @@
     PROCESSORS 2 TIMEOUT 300)
 endforeach()
 
-# The core protocol and each rule taken away, by the model checker.
-add_test(NAME model.contact COMMAND ${CMAKE_SOURCE_DIR}/model/check)
-set_tests_properties(model.contact PROPERTIES TIMEOUT 900)
+# The core protocols and each rule taken away, by the model checker.
+add_test(NAME model.protocols COMMAND ${CMAKE_SOURCE_DIR}/model/check)
+set_tests_properties(model.protocols PROPERTIES TIMEOUT 900)
