Let two hosts read the store for all

Change: two hosts, in an order that all compute alike, read and pass on what changed between two versions by datagram. A host that misses something, hears nothing for 1.3 s or hears nobody reads for itself. Contact for orders counts from this host's own message that the reader had heard before it asked, so a datagram that lay unread proves nothing. Ruled out: longer pauses alone, as a leaving backend server must be left alone within two seconds. Tests: edge_state/news_of_a_list_is_taken_in_order_or_read_anew, contact_by_news_counts_from_this_hosts_own_message, two_hosts_read_for_all.

--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -34,6 +34,9 @@
   Time answered;  // the newest answer
   Time regained;  // when it answered again after entries may have lapsed
   bool is_lost = false;
+  int64_t version = 0;   // of the store, as far as the list is known here
+  Time fresh;            // when the list was last known to be up to date
+  bool has_gap = false;  // news was missed
 };
 
 // A runner that this host owns, and the loop that gives it orders.
@@ -95,6 +98,7 @@
   std::map<std::string, int64_t> peer_numbers;  // by session
   std::set<std::string> host_addresses;         // all ever known
   int64_t message_number = 0;
+  std::map<int64_t, Time> message_times;  // own newest messages -> when sent
   std::map<std::string, std::set<std::string>> used_adapters;  // to tell
   std::set<std::string> owned_changed;  // runners to tell of
   Signal tell_signal;                   // wakes the loop that tells the others
--- a/rosemaryhook/edge_peers.cc
+++ b/rosemaryhook/edge_peers.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/edge_orders.h"
+#include "rosemaryhook/edge_store.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -26,6 +27,15 @@
 // Sessions that ended are forgotten.
 constexpr Duration kForgetAfter = std::chrono::seconds(60);
 
+// A host whose store calls failed lately does not read for others.
+constexpr Duration kReadingSpan = std::chrono::milliseconds(3000);
+
+// Own messages whose times are kept: some ten seconds of them.
+constexpr size_t kMessageTimes = 256;
+
+// Longer news is not sent along; the hosts then read for themselves.
+constexpr size_t kLargestNews = 8 << 10;
+
 constexpr size_t kLargestDatagram = 65'507;
 
 // Session, address and zone, as in every message.
@@ -36,6 +46,13 @@
   message.zone = edge->settings.zone;
   message.number = ++edge->message_number;
   message.is_leaving = edge->is_draining;
+  message.is_reading = Now() - edge->runner_contact.answered < kReadingSpan ||
+                       (!edge->runner_contact.is_lost &&
+                        Now() - edge->runner_contact.fresh < kReadingSpan);
+  edge->message_times[message.number] = Now();
+  while (edge->message_times.size() > kMessageTimes) {
+    edge->message_times.erase(edge->message_times.begin());
+  }
   return message;
 }
 
@@ -124,6 +141,15 @@
          message.suspects.empty();
 }
 
+void SendToAll(const PeerMessage& message, Edge* edge) {
+  const std::string bytes = EncodePeerMessage(message);
+  for (const std::string& address : edge->host_addresses) {
+    if (address != edge->settings.peers) {
+      SendTo(address, bytes, edge);
+    }
+  }
+}
+
 void TellAll(bool is_tick, Told* told, Edge* edge) {
   const Time now = Now();
   const bool is_full = is_tick && now >= told->full_due;
@@ -143,12 +169,7 @@
   } else if (IsEmpty(message)) {
     return;
   }
-  const std::string bytes = EncodePeerMessage(message);
-  for (const std::string& address : edge->host_addresses) {
-    if (address != edge->settings.peers) {
-      SendTo(address, bytes, edge);
-    }
-  }
+  SendToAll(message, edge);
 }
 
 awaitable<void> TellLoop(EdgePtr edge) {
@@ -196,8 +217,9 @@
                  {"state", "heard"}});
     edge->host_addresses.insert(message.address);
   }
-  edge->hosts[message.session] = {message.session, message.address,
-                                  message.zone, now, message.is_leaving};
+  edge->hosts[message.session] = {message.session,    message.address,
+                                  message.zone,       now,
+                                  message.is_leaving, message.is_reading};
 }
 
 }  // namespace
@@ -258,6 +280,9 @@
   for (const LoadWish& wish : message.wishes) {
     WantLoad(wish, now, edge);
   }
+  for (const ListNews& news : message.news) {
+    ApplyNews(news, now, edge);
+  }
   MergeSuspects(message.suspects, now, &edge->suspects);
 }
 
@@ -281,6 +306,20 @@
   });
 }
 
+void SendNews(ListNews news, Edge* edge) {
+  size_t bytes = 0;
+  for (const StoreRow& row : news.rows) {
+    bytes += row.key.size() + row.value.size();
+  }
+  if (bytes > kLargestNews) {
+    news.rows.clear();
+    news.from = news.to;  // whoever is behind sees a gap
+  }
+  PeerMessage message = NewMessage(edge);
+  message.news.push_back(std::move(news));
+  SendToAll(message, edge);
+}
+
 void SendWish(const LoadWish& wish, Edge* edge) {
   if (WantLoad(wish, Now(), edge)) {
     return;
--- a/rosemaryhook/edge_peers.h
+++ b/rosemaryhook/edge_peers.h
@@ -19,6 +19,9 @@
 // Forgets what hosts said that are silent.
 void ExpirePeers(Time now, Edge* edge);
 
+// Tells all hosts what changed in a list.
+void SendNews(ListNews news, Edge* edge);
+
 // Asks the owner of a runner to load an adapter there.
 void SendWish(const LoadWish& wish, Edge* edge);
 
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -9,6 +9,8 @@
 #include "platform/configuration_codec.h"
 #include "platform/runner_codec.h"
 #include "rosemaryhook/edge_orders.h"
+#include "rosemaryhook/edge_peers.h"
+#include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -18,11 +20,17 @@
 
 // Changes of the configuration are waited for at the store this long at a time.
 // Bounds how long a connection that fell silent goes unnoticed.
-constexpr Duration kOperatorWait = std::chrono::milliseconds(2500);
+constexpr Duration kOperatorWait = std::chrono::milliseconds(900);
 
-// Between looks at lists that change all the time. Half of the shortest time
+// Between looks at lists that change all the time. A third of the shortest time
 // in which a leaving backend server must be left alone.
-constexpr Duration kListInterval = std::chrono::milliseconds(1000);
+constexpr Duration kListInterval = std::chrono::milliseconds(700);
+
+// Without news for this long a host reads for itself.
+constexpr Duration kNewsSilence = std::chrono::milliseconds(1300);
+
+// Between looks at whether this host is to read.
+constexpr Duration kTurnPause = std::chrono::milliseconds(150);
 
 // A host that has just started looks at the owners more often, so that runners
 // without one soon have one.
@@ -107,31 +115,58 @@
   co_return std::move(std::get<StoreRows>(rows));
 }
 
+// Whether this host is to ask the store for a list now.
+bool IsToRead(const Edge& edge, const StoreContact& contact, Time now) {
+  return contact.version == 0 || contact.has_gap ||
+         now - contact.fresh > kNewsSilence ||
+         IsReader(edge.settings.peers, edge.hosts, now);
+}
+
+// One look at a list; false if the store did not answer. Readers pass on what
+// they see.
+awaitable<bool> ReadOnce(EdgePtr edge, const TableLoop& loop) {
+  StoreContact& contact = (*edge).*loop.contact;
+  const Time asked = Now();
+  const int64_t from = contact.version;
+  const auto heard = edge->peer_numbers;
+  auto outcome = co_await Look(*edge, loop, from);
+  if (const auto* error = std::get_if<Error>(&outcome)) {
+    NoteLost(loop.what, *error, &contact);
+    co_return false;
+  }
+  NoteStoreAnswer(loop.what, edge->settings.heartbeat, Now(), &contact);
+  if (std::holds_alternative<HistoryGone>(outcome)) {
+    Log("store_history_gone", {{"list", loop.what}, {"after", from}});
+    contact.version = 0;
+    co_return true;
+  }
+  StoreRows& rows = std::get<StoreRows>(outcome);
+  contact.version = std::max(contact.version, rows.version);
+  contact.has_gap = false;
+  loop.apply(rows, from == 0, asked);
+  if (from > 0 && IsReader(edge->settings.peers, edge->hosts, Now())) {
+    SendNews({loop.table, from, rows.version, std::move(rows.rows), heard},
+             edge.get());
+  }
+  co_return true;
+}
+
 awaitable<void> Follow(EdgePtr edge, TableLoop loop) {
-  int64_t after = 0;
   Duration pause = kFirstPause;
   StoreContact& contact = (*edge).*loop.contact;
   while (!edge->is_stopping) {
-    const Time asked = Now();
-    const bool is_whole = after == 0;
-    auto outcome = co_await Look(*edge, loop, after);
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      NoteLost(loop.what, *error, &contact);
+    if (!IsToRead(*edge, contact, Now())) {
+      co_await Sleep(kTurnPause);
+      continue;
+    }
+    const bool is_answered = co_await ReadOnce(edge, loop);
+    if (!is_answered) {
       co_await Sleep(pause);
       pause = std::min(pause * 2, kLastPause);
       continue;
     }
-    NoteStoreAnswer(loop.what, edge->settings.heartbeat, Now(), &contact);
     pause = kFirstPause;
-    if (std::holds_alternative<HistoryGone>(outcome)) {
-      Log("store_history_gone", {{"list", loop.what}, {"after", after}});
-      after = 0;
-      continue;
-    }
-    const StoreRows& rows = std::get<StoreRows>(outcome);
-    after = std::max(after, rows.version);
-    loop.apply(rows, is_whole, asked);
-    co_await Sleep(loop.interval);
+    co_await Sleep(contact.version == 0 ? Duration::zero() : loop.interval);
   }
 }
 
@@ -272,26 +307,12 @@
   }
 }
 
-awaitable<void> FollowOwners(EdgePtr edge) {
-  TableLoop loop{kOwnerTable,          "owners",
-                 Duration::zero(),     Duration::zero(),
-                 &Edge::owner_contact, {}};
-  int64_t after = 0;
+awaitable<void> FollowOwners(EdgePtr edge, TableLoop loop) {
   while (!edge->is_stopping) {
-    const Time asked = Now();
-    const bool is_whole = after == 0;
-    auto outcome = co_await Look(*edge, loop, after);
-    if (const auto* error = std::get_if<Error>(&outcome)) {
-      NoteLost(loop.what, *error, &edge->owner_contact);
-    } else if (std::holds_alternative<HistoryGone>(outcome)) {
-      after = 0;
-      continue;
-    } else {
-      NoteStoreAnswer(loop.what, edge->settings.heartbeat, Now(),
-                      &edge->owner_contact);
-      const StoreRows& rows = std::get<StoreRows>(outcome);
-      after = std::max(after, rows.version);
-      ApplyOwnerRows(rows, is_whole, asked, edge.get());
+    if (IsToRead(*edge, edge->owner_contact, Now())) {
+      co_await ReadOnce(edge, loop);
+    }
+    if (edge->owner_contact.version > 0) {
       AdoptUnacknowledged(Now(), edge.get());
       co_await ClaimRunners(edge);
       StartOwnedRunners(edge);
@@ -363,17 +384,23 @@
                      Duration heartbeat,
                      Time now,
                      StoreContact* contact) {
-  const Duration gap = now - contact->answered;
   if (contact->is_lost) {
-    Log("store_regained", {{"list", list}, {"gap_ms", Millis(gap)}});
-  }
-  if (contact->answered != Time() && gap > heartbeat * kLapseCheckIns) {
-    contact->regained = now;
+    Log("store_regained",
+        {{"list", list}, {"gap_ms", Millis(now - contact->answered)}});
   }
+  NoteListFresh(heartbeat, now, contact);
   contact->is_lost = false;
   contact->answered = now;
 }
 
+void NoteListFresh(Duration heartbeat, Time now, StoreContact* contact) {
+  if (contact->fresh != Time() &&
+      now - contact->fresh > heartbeat * kLapseCheckIns) {
+    contact->regained = now;
+  }
+  contact->fresh = now;
+}
+
 bool ApplyOperatorRow(const StoreRow& row, Time now, Edge* edge) {
   switch (platform::ClassifyOperatorRow(row.key)) {
     case platform::OperatorRow::kConfiguration: {
@@ -458,6 +485,45 @@
   });
 }
 
+void ApplyNews(const ListNews& news, Time now, Edge* edge) {
+  const std::map<std::string, StoreContact Edge::*> lists{
+      {platform::kOperatorTable, &Edge::operator_contact},
+      {platform::kRunnerTable, &Edge::runner_contact},
+      {kOwnerTable, &Edge::owner_contact}};
+  const auto list = lists.find(news.list);
+  if (list == lists.end()) {
+    return;
+  }
+  StoreContact& contact = edge->*list->second;
+  const NewsUse use = JudgeNews(news.from, news.to, contact.version);
+  if (use == NewsUse::kGap) {
+    contact.has_gap = contact.version > 0;
+    return;
+  }
+  StoreRows rows;
+  rows.version = news.to;
+  for (const StoreRow& row : news.rows) {
+    if (row.version > contact.version) {
+      rows.rows.push_back(row);
+    }
+  }
+  contact.version = std::max(contact.version, news.to);
+  NoteListFresh(edge->settings.heartbeat, now, &contact);
+  // The store was asked after this host sent the message that had been heard.
+  const auto heard = news.heard.find(edge->session);
+  const auto sent = heard == news.heard.end()
+                        ? edge->message_times.end()
+                        : edge->message_times.find(heard->second);
+  const Time asked = sent == edge->message_times.end() ? Time() : sent->second;
+  if (news.list == platform::kOperatorTable) {
+    ApplyOperatorRows(rows, false, edge);
+  } else if (news.list == platform::kRunnerTable) {
+    ApplyRunnerRows(rows, false, edge);
+  } else {
+    ApplyOwnerRows(rows, false, asked, edge);
+  }
+}
+
 void StartStoreLoops(const EdgePtr& edge) {
   Edge* state = edge.get();
   TableLoop operators{platform::kOperatorTable,
@@ -477,7 +543,14 @@
   };
   asio::co_spawn(edge->io, Follow(edge, std::move(operators)), asio::detached);
   asio::co_spawn(edge->io, Follow(edge, std::move(runners)), asio::detached);
-  asio::co_spawn(edge->io, FollowOwners(edge), asio::detached);
+  TableLoop owners{kOwnerTable,          "owners",
+                   Duration::zero(),     kListInterval,
+                   &Edge::owner_contact, {}};
+  owners.apply = [state](const StoreRows& rows, bool is_whole, Time asked) {
+    ApplyOwnerRows(rows, is_whole, asked, state);
+  };
+  asio::co_spawn(edge->io, FollowOwners(edge, std::move(owners)),
+                 asio::detached);
   asio::co_spawn(edge->io, JoinHosts(edge), asio::detached);
 }
 
--- a/rosemaryhook/edge_store.h
+++ b/rosemaryhook/edge_store.h
@@ -12,11 +12,16 @@
 // Starts the loops; they run until `is_stopping`.
 void StartStoreLoops(const std::shared_ptr<Edge>& edge);
 
+// Takes in what another host read.
+void ApplyNews(const ListNews& news, Time now, Edge* edge);
+
 // Decisions of the loops, apart for tests.
 
-// The store answered for `list`. After a gap in which entries of backend
-// servers, which check in every `heartbeat`, may have lapsed, `regained` is
-// set.
+// A list is up to date. After a gap in which entries of backend servers, which
+// check in every `heartbeat`, may have lapsed, `regained` is set.
+void NoteListFresh(Duration heartbeat, Time now, StoreContact* contact);
+
+// The store answered this host for `list`.
 void NoteStoreAnswer(const char* list,
                      Duration heartbeat,
                      Time now,
--- /dev/null
+++ b/rosemaryhook/list_sharing.cc
@@ -0,0 +1,39 @@
+#include "rosemaryhook/list_sharing.h"
+
+#include <algorithm>
+
+#include "rosemaryhook/placement.h"
+
+namespace rosemaryhook {
+namespace {
+
+// A host not heard for this long does not count as a reader.
+constexpr Duration kHeardSpan = std::chrono::milliseconds(2000);
+
+// Names the order, so that readers are not the first of other orders too.
+constexpr char kOrderKey[] = "readers";
+
+}  // namespace
+
+bool IsReader(const std::string& address,
+              const std::map<std::string, HeardHost>& hosts,
+              Time now) {
+  const uint64_t own = RendezvousWeight(kOrderKey, address);
+  const auto ahead =
+      std::count_if(hosts.begin(), hosts.end(), [&](const auto& entry) {
+        const HeardHost& host = entry.second;
+        return host.is_reading && !host.is_leaving &&
+               now - host.heard < kHeardSpan && host.address != address &&
+               RendezvousWeight(kOrderKey, host.address) > own;
+      });
+  return ahead < kReaders;
+}
+
+NewsUse JudgeNews(int64_t from, int64_t to, int64_t known) {
+  if (known == 0 || from > known) {
+    return NewsUse::kGap;
+  }
+  return to > known ? NewsUse::kApply : NewsUse::kOld;
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/list_sharing.h
@@ -0,0 +1,42 @@
+// Few hosts read the store's lists and tell the others.
+//
+//   if (IsReader(self, hosts, now)) ... read, then tell ...
+//   switch (JudgeNews(news.from, news.to, version)) ...
+//
+// Load pattern: calls to the store are dear and their number is limited for all
+// hosts together, while every host needs the same rows. kReaders hosts read and
+// pass on what changed; a host that hears nothing of them, or sees that it
+// missed something, reads for itself.
+#ifndef ROSEMARYHOOK_LIST_SHARING_H_
+#define ROSEMARYHOOK_LIST_SHARING_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "rosemaryhook/order_rights.h"
+#include "rosemaryhook/time.h"
+
+namespace rosemaryhook {
+
+// Two, so that the loss of one or of its datagram does no harm.
+constexpr int kReaders = 2;
+
+// Whether the host at `address` is among the readers: the first in an order
+// that all hosts compute alike of those that are heard and that the store
+// answers. `hosts` by session.
+bool IsReader(const std::string& address,
+              const std::map<std::string, HeardHost>& hosts,
+              Time now);
+
+// News says what changed in a list between two versions of the store.
+enum class NewsUse {
+  kApply,  // it continues what is known
+  kOld,    // nothing new
+  kGap,    // something before it was missed
+};
+NewsUse JudgeNews(int64_t from, int64_t to, int64_t known);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_LIST_SHARING_H_
--- a/rosemaryhook/order_rights.h
+++ b/rosemaryhook/order_rights.h
@@ -44,6 +44,7 @@
   std::string zone;
   Time heard;
   bool is_leaving = false;  // said that it gives no more orders
+  bool is_reading = false;  // said that the store answers it
 };
 
 struct OrderRights {
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -36,6 +36,38 @@
   return json;
 }
 
+Json NewsToJson(const std::vector<ListNews>& news) {
+  Json json = Json::array();
+  for (const ListNews& item : news) {
+    Json rows = Json::array();
+    for (const auto& row : item.rows) {
+      rows.push_back(
+          Json::array({row.key, row.value, row.version, row.is_removed}));
+    }
+    json.push_back(Json::array(
+        {item.list, item.from, item.to, std::move(rows), item.heard}));
+  }
+  return json;
+}
+
+std::vector<ListNews> NewsFromJson(const Json& json) {
+  std::vector<ListNews> news;
+  for (const Json& item : json) {
+    ListNews read;
+    read.list = item.at(0).get<std::string>();
+    read.from = item.at(1).get<int64_t>();
+    read.to = item.at(2).get<int64_t>();
+    for (const Json& row : item.at(3)) {
+      read.rows.push_back({row.at(0).get<std::string>(),
+                           row.at(1).get<std::string>(),
+                           row.at(2).get<int64_t>(), row.at(3).get<bool>()});
+    }
+    read.heard = item.at(4).get<std::map<std::string, int64_t>>();
+    news.push_back(std::move(read));
+  }
+  return news;
+}
+
 PeerMessage DecodeMessage(const Json& json) {
   PeerMessage message;
   message.session = json.at("s").get<std::string>();
@@ -43,6 +75,8 @@
   message.zone = json.at("z").get<std::string>();
   message.number = json.at("n").get<int64_t>();
   message.is_leaving = json.value("l", false);
+  message.is_reading = json.value("b", false);
+  message.news = NewsFromJson(json.value("d", Json::array()));
   message.spent = Field<std::map<std::string, double>>(json, "t");
   message.loads = LoadsFromJson(json.value("r", Json::object()));
   message.used = Field<std::map<std::string, std::set<std::string>>>(json, "u");
@@ -71,6 +105,10 @@
   if (message.is_leaving) {
     json["l"] = true;
   }
+  if (message.is_reading) {
+    json["b"] = true;
+  }
+  add("d", NewsToJson(message.news));
   add("t", message.spent);
   add("r", LoadsToJson(message.loads));
   add("u", message.used);
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/store_codec.h"
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/fleet_state.h"
 #include "rosemaryhook/runner_choice.h"
@@ -25,18 +26,30 @@
   bool is_missing = false;  // the runner refused a request for lack of it
 };
 
+// What changed in one of the store's lists, from a host that reads it.
+struct ListNews {
+  std::string list;
+  int64_t from = 0;  // version of the store before
+  int64_t to = 0;    // and after
+  std::vector<platform::StoreRow> rows;
+  // Session -> its newest message that had come when the store was asked.
+  std::map<std::string, int64_t> heard;
+};
+
 struct PeerMessage {
   std::string session;
   std::string address;  // ip:port for datagrams
   std::string zone;
   int64_t number = 0;  // grows with each message of the session
   bool is_leaving = false;
+  bool is_reading = false;                  // the store answers this host
   std::map<std::string, double> spent;      // customer -> tokens in all
   std::map<std::string, RunnerLoad> loads;  // runner -> sent by this host
   // Runner -> adapters that requests of this host run on or ended on lately.
   std::map<std::string, std::set<std::string>> used;
   std::map<std::string, HeldAdapters> owned;  // runner -> usable adapters
   std::vector<LoadWish> wishes;
+  std::vector<ListNews> news;
   Json suspects = Json::object();
 };
 
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -3,6 +3,7 @@
 
 #include "rosemaryhook/edge_peers.h"
 #include "rosemaryhook/edge_store.h"
+#include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -177,6 +178,85 @@
   BOOST_TEST(FleetQuorum(edge, At(30)).hosts == 7);
 }
 
+ListNews News(int64_t from, int64_t to, std::vector<StoreRow> rows) {
+  return {"servers", from, to, std::move(rows), {}};
+}
+
+StoreRow Versioned(StoreRow row, int64_t version) {
+  row.version = version;
+  return row;
+}
+
+BOOST_AUTO_TEST_CASE(news_of_a_list_is_taken_in_order_or_read_anew) {
+  edge.settings.heartbeat = std::chrono::milliseconds(1200);
+  // A host that knows nothing yet reads for itself.
+  ApplyNews(News(5, 7, {Versioned(Entry("i-1"), 6)}), At(1), &edge);
+  BOOST_TEST(edge.runners.empty());
+  StoreContact& contact = edge.runner_contact;
+  contact.version = 7;
+  contact.fresh = At(1);
+  ApplyNews(News(7, 9, {Versioned(Entry("i-1"), 8)}), At(1.5), &edge);
+  BOOST_TEST(edge.runners.contains("i-1"));
+  BOOST_TEST(contact.version == 9);
+  // The other reader's news of the same change, and an older one.
+  ApplyNews(News(6, 9, {Versioned(Entry("i-1", "draining"), 8)}), At(1.6),
+            &edge);
+  ApplyNews(News(5, 6, {Versioned(Entry("i-9"), 6)}), At(1.7), &edge);
+  BOOST_TEST(!edge.runners.at("i-1").entry.is_leaving);
+  BOOST_TEST(!edge.runners.contains("i-9"));
+  BOOST_TEST((contact.fresh == At(1.7)));
+  BOOST_TEST(!contact.has_gap);
+  // Something was missed: nothing of it is used.
+  ApplyNews(News(12, 14, {Versioned(Entry("i-2"), 13)}), At(2), &edge);
+  BOOST_TEST(contact.has_gap);
+  BOOST_TEST(!edge.runners.contains("i-2"));
+  BOOST_TEST(contact.version == 9);
+}
+
+// A datagram may lie unread while the process stands still.
+BOOST_AUTO_TEST_CASE(contact_by_news_counts_from_this_hosts_own_message) {
+  edge.owner_contact.version = 3;
+  edge.message_times[41] = At(10);
+  ListNews news{"owners", 3, 4, {}, {{"self", 41}}};
+  ApplyNews(news, At(30), &edge);
+  BOOST_TEST((edge.rights.contact == At(10)));
+  // News that does not say what was heard of this host proves no contact.
+  news = {"owners", 4, 5, {}, {}};
+  ApplyNews(news, At(31), &edge);
+  BOOST_TEST((edge.rights.contact == At(10)));
+}
+
+BOOST_AUTO_TEST_CASE(two_hosts_read_for_all) {
+  std::map<std::string, HeardHost> hosts;
+  std::vector<std::string> addresses;
+  for (int i = 0; i < 8; ++i) {
+    const std::string address = "10.0.0." + std::to_string(i) + ":7600";
+    addresses.push_back(address);
+    hosts["s" + std::to_string(i)] = {
+        "s" + std::to_string(i), address, "z", At(1), false, true};
+  }
+  const auto readers = [&](Time now) {
+    std::set<std::string> found;
+    for (const std::string& address : addresses) {
+      if (IsReader(address, hosts, now)) {
+        found.insert(address);
+      }
+    }
+    return found;
+  };
+  const std::set<std::string> first = readers(At(1));
+  BOOST_TEST(first.size() == 2U);
+  // One of them is refused by the store: another takes its place.
+  for (auto& [session, host] : hosts) {
+    host.is_reading = host.address != *first.begin();
+  }
+  std::set<std::string> second = readers(At(1));
+  second.erase(*first.begin());
+  BOOST_TEST(second.size() == 2U);
+  // A host that hears nobody reads for itself.
+  BOOST_TEST(readers(At(60)).size() == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
