Log each choice of a runner and each wait

A request's id now leads to why it waited, where its adapter was to be loaded, which runner it went to, what wait was expected there and how old the list was. Two lines more a request.

--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "rosemaryhook/edge_call.h"
 #include "rosemaryhook/edge_peers.h"
@@ -277,11 +278,38 @@
                                   call.route->objective * kPatientObjectives));
 }
 
+void LogRoute(const EdgeCall& call, const RunnerChoice& choice) {
+  const Edge& edge = *call.edge;
+  Log("route",
+      {{"id", call.headers.request_id},
+       {"runner", choice.runner->entry.id},
+       {"why", choice.why},
+       {"usable", choice.usable},
+       {"expected_ms", static_cast<int64_t>(WaitEstimate(
+                           *choice.runner, call.headers.prompt_tokens))},
+       {"list_age_ms", Millis(Now() - edge.runner_contact.fresh)}});
+}
+
+// Why a request waits, once for each time that it begins to.
+void LogWait(const EdgeCall& call, const RunnerChoice& choice) {
+  const char* why = choice.is_paced            ? "cold_pace"
+                    : choice.runner == nullptr ? "no_owner_heard"
+                                               : "adapter_not_held";
+  Log("wait",
+      {{"id", call.headers.request_id},
+       {"adapter", call.headers.adapter},
+       {"why", why},
+       {"home", choice.runner == nullptr ? "" : choice.runner->entry.id},
+       {"usable", choice.usable},
+       {"list_age_ms", Millis(Now() - call.edge->runner_contact.fresh)}});
+}
+
 // The runner to send to, after waiting for one that holds the adapter. Empty if
 // none can serve the request in time.
 awaitable<std::string> PickRunner(EdgeCall& call) {
   Edge& edge = *call.edge;
   const Time wait_until = call.arrived + Patience(call) * kWaitPercent / 100;
+  bool is_waiting = false;
   while (!call.is_gone) {
     const Time now = Now();
     const WantedRunner wanted = WantedFor(call);
@@ -292,6 +320,7 @@
                    &edge);
       }
       edge.pending_loads.erase(wanted.adapter);
+      LogRoute(call, choice);
       co_return choice.runner->entry.id;
     }
     if (choice.usable == 0 || now >= wait_until) {
@@ -301,6 +330,9 @@
     if (choice.runner != nullptr) {
       AskForLoad(wanted.adapter, choice.runner->entry.id, wanted, &edge);
     }
+    if (!std::exchange(is_waiting, true)) {
+      LogWait(call, choice);
+    }
     const Duration pause = choice.is_paced ? kPacedInterval : kPickInterval;
     co_await AwaitRunnerChange(edge, std::min(now + pause, wait_until));
   }
