Let many hosts tell each other less often

Change: above 16 hosts the interval grows with their number up to a second, and what counts as silence with it. An owner counts as heard while its host is. Test: edge_state/many_hosts_tell_less_often (80 heard a second at most).

--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -16,8 +16,8 @@
 // Callers that wait ask again at shorter intervals than this.
 constexpr Duration kWantedSpan = std::chrono::milliseconds(1500);
 
-// An adapter used within this time is not dropped: hosts tell four times a second
-// what runs, so one whose message was lost is still covered.
+// An adapter used within this time is not dropped: hosts tell four times a
+// second what runs, so one whose message was lost is still covered.
 constexpr Duration kRecentUse = std::chrono::milliseconds(700);
 
 // Between telling the hosts that an adapter goes and dropping it: a message
--- a/rosemaryhook/edge.cc
+++ b/rosemaryhook/edge.cc
@@ -5,8 +5,14 @@
 namespace rosemaryhook {
 namespace {
 
-// A host not heard for this long may be cut off and still be spending.
-constexpr Duration kHeardSpan = std::chrono::milliseconds(1500);
+// Up to this many hosts tell each other every kShortestInterval; more hosts
+// tell as much less often, down to kLongestInterval. Keeps the messages that a
+// host hears below 80 a second at 80 hosts.
+constexpr size_t kFewHosts = 16;
+constexpr Duration kShortestInterval = std::chrono::milliseconds(250);
+constexpr Duration kLongestInterval = std::chrono::milliseconds(1000);
+
+constexpr Duration kLeastHeardSpan = std::chrono::milliseconds(1500);
 
 // A host not heard for this long has ended; a host that hears nobody cannot
 // conclude that.
@@ -14,16 +20,27 @@
 
 }  // namespace
 
+Duration TellInterval(size_t hosts) {
+  const Duration scaled = kShortestInterval * static_cast<int64_t>(hosts) /
+                          static_cast<int64_t>(kFewHosts);
+  return std::clamp(scaled, kShortestInterval, kLongestInterval);
+}
+
+Duration HeardSpan(size_t hosts) {
+  return std::max(kLeastHeardSpan, TellInterval(hosts) * 5 / 2);
+}
+
 Quorum FleetQuorum(const Edge& edge, Time now) {
   std::map<std::string, Time> newest;  // by address: a restart is no new host
   for (const auto& [session, host] : edge.hosts) {
     Time& heard = newest[host.address];
     heard = std::max(heard, host.heard);
   }
+  const Duration heard_span = HeardSpan(edge.host_addresses.size());
   Quorum quorum;
   int silent = 0;
   for (const auto& [address, heard] : newest) {
-    if (now - heard < kHeardSpan) {
+    if (now - heard < heard_span) {
       ++quorum.heard;
     } else if (now - heard < kEndedSpan) {
       ++silent;
@@ -42,7 +59,7 @@
   const Time now = Now();
   std::vector<std::string> hosts{edge->settings.peers};
   for (const auto& [session, host] : edge->hosts) {
-    if (now - host.heard < kHeardSpan) {
+    if (now - host.heard < HeardSpan(edge->host_addresses.size())) {
       hosts.push_back(host.address);
     }
   }
--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -110,6 +110,14 @@
   std::list<Signal*> runner_waiters;  // requests that wait for a runner
 };
 
+// Between messages to all other hosts. Load pattern: the number of messages
+// grows with the square of the hosts, so many hosts tell less often.
+Duration TellInterval(size_t hosts);
+
+// A host not heard for this long may be cut off: two messages and a half, at
+// least 1.5 s.
+Duration HeardSpan(size_t hosts);
+
 // Hosts heard lately, this one included, of all that may be at work.
 Quorum FleetQuorum(const Edge& edge, Time now);
 
--- a/rosemaryhook/edge_orders.cc
+++ b/rosemaryhook/edge_orders.cc
@@ -48,7 +48,7 @@
   HeldAdapters held = UsableAdapters(owned.plan);
   const bool is_heard = owned.plan.is_known && !owned.plan.models.empty() &&
                         MayOrder(edge->rights, runner, Now());
-  view.owner_heard = Now();
+  view.owner_session.clear();
   if (held == view.held && view.is_owner_heard == is_heard) {
     return;
   }
--- a/rosemaryhook/edge_peers.cc
+++ b/rosemaryhook/edge_peers.cc
@@ -1,5 +1,5 @@
 // A message goes to every host known: what has changed at once or within
-// kTellInterval, everything every kFullInterval, so a host that missed a
+// TellInterval, everything every kFullTicks of these, so a host that missed a
 // message or has just started is soon up to date.
 #include "rosemaryhook/edge_peers.h"
 
@@ -15,13 +15,13 @@
 using EdgePtr = std::shared_ptr<Edge>;
 using asio::ip::udp;
 
-constexpr Duration kTellInterval = std::chrono::milliseconds(250);
-constexpr Duration kFullInterval = std::chrono::milliseconds(1000);
+constexpr int kFullTicks = 4;
 
 // Several changes within this time go in one message.
 constexpr Duration kGatherSpan = std::chrono::milliseconds(2);
 
-// What a host said is void when it has been silent for this long.
+// What a host said is void when it has been silent for this long, or for three
+// messages.
 constexpr Duration kVoidAfter = std::chrono::milliseconds(2500);
 
 // Sessions that ended are forgotten.
@@ -165,7 +165,8 @@
     }
   }
   if (is_full) {
-    told->full_due = now + kFullInterval;
+    told->full_due =
+        now + TellInterval(edge->host_addresses.size()) * kFullTicks;
   } else if (IsEmpty(message)) {
     return;
   }
@@ -174,7 +175,7 @@
 
 awaitable<void> TellLoop(EdgePtr edge) {
   Told told;
-  Time tick = Now() + kTellInterval;
+  Time tick = Now();
   while (!edge->is_stopping) {
     if (edge->owned_changed.empty()) {
       co_await edge->tell_signal.Wait(tick);
@@ -186,7 +187,7 @@
     }
     ExpirePeers(Now(), edge.get());
     TellAll(true, &told, edge.get());
-    tick = Now() + kTellInterval;
+    tick = Now() + TellInterval(edge->host_addresses.size());
   }
 }
 
@@ -271,7 +272,7 @@
     if (view != edge->runners.end() && !IsOwn(edge->rights, runner)) {
       view->second.held = held;
       view->second.is_owner_heard = !message.is_leaving;
-      view->second.owner_heard = now;
+      view->second.owner_session = message.session;
     }
   }
   if (!message.owned.empty()) {
@@ -287,12 +288,18 @@
 }
 
 void ExpirePeers(Time now, Edge* edge) {
+  const Duration void_after =
+      std::max(kVoidAfter, TellInterval(edge->host_addresses.size()) * 3);
   for (auto& [id, view] : edge->runners) {
     std::erase_if(view.peers, [&](const auto& entry) {
       const auto host = edge->hosts.find(entry.first);
-      return host == edge->hosts.end() || now - host->second.heard > kVoidAfter;
+      return host == edge->hosts.end() || now - host->second.heard > void_after;
     });
-    if (view.is_owner_heard && now - view.owner_heard > kVoidAfter) {
+    const auto owner = edge->hosts.find(view.owner_session);
+    const bool is_silent =
+        !view.owner_session.empty() &&
+        (owner == edge->hosts.end() || now - owner->second.heard > void_after);
+    if (is_silent) {
       view.is_owner_heard = false;
     }
   }
--- a/rosemaryhook/list_sharing.cc
+++ b/rosemaryhook/list_sharing.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // A host not heard for this long does not count as a reader.
-constexpr Duration kHeardSpan = std::chrono::milliseconds(2000);
+constexpr Duration kHeardSpan = std::chrono::milliseconds(2500);
 
 // Names the order, so that readers are not the first of other orders too.
 constexpr char kOrderKey[] = "readers";
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -66,7 +66,7 @@
   ColdPace cold_pace;
   HeldAdapters held;
   bool is_owner_heard = false;  // somebody can order loads there now
-  Time owner_heard;             // its newest word on `held`
+  std::string owner_session;    // of the host that said so; empty: this one
   Time gone_at;                 // left the list; Time() while listed
   Time lapsed_until;  // missing since an outage; gone if still missing then
 };
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -156,6 +156,20 @@
   BOOST_TEST(!view.is_owner_heard);
 }
 
+// Messages grow with the square of the hosts.
+BOOST_AUTO_TEST_CASE(many_hosts_tell_less_often) {
+  for (const size_t hosts : {1U, 8U, 16U}) {
+    BOOST_TEST(Millis(TellInterval(hosts)) == 250);
+    BOOST_TEST(Millis(HeardSpan(hosts)) == 1500);
+  }
+  for (const size_t hosts : {32U, 64U, 79U}) {
+    const double heard_a_second =
+        static_cast<double>(hosts) * 1000 / Millis(TellInterval(hosts));
+    BOOST_TEST(heard_a_second <= 80);
+    BOOST_TEST((HeardSpan(hosts) >= TellInterval(hosts) * 2));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_host_cut_off_takes_only_its_part_of_the_rates) {
   BOOST_TEST(FleetQuorum(edge, At(1)).hosts == 1);
   for (int i = 0; i < 7; ++i) {
