Split the store's loops, rows, owners and admission into files of their own

edge_store.cc had grown to 557 lines and edge_requests.cc to 501; a reader had to hold loops, rows, claims and refusals in mind at once. No change of behaviour; unit tests pass.

--- /dev/null
+++ b/rosemaryhook/edge_admission.cc
@@ -0,0 +1,149 @@
+#include "rosemaryhook/edge_admission.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace rosemaryhook {
+namespace {
+
+// Crashes after which a request is refused: the platform allows three retries
+// of a request that crashes what runs it.
+constexpr int kCrashesToRefuse = 3;
+
+// When a caller is told to come back to a service that is not there, and with a
+// request that crashes what runs it.
+constexpr Duration kLongReturn = std::chrono::seconds(1);
+constexpr Duration kCrasherReturn = std::chrono::seconds(30);
+
+std::string Fingerprint(const EdgeCall& call) {
+  // Requests without a body are alike by nature, so they are not compared.
+  if (call.request.body.empty()) {
+    return {};
+  }
+  const std::string text =
+      call.customer + "\n" + call.request.target + "\n" + call.request.body;
+  return std::to_string(XXH3_64bits(text.data(), text.size()));
+}
+
+bool IsCrasher(const EdgeCall& call) {
+  return !call.fingerprint.empty() &&
+         CrashCount(call.edge->suspects, call.fingerprint, Now()) >=
+             kCrashesToRefuse;
+}
+
+std::optional<EdgeRefusal> FindCustomer(EdgeCall* call) {
+  const Deployment& deployment = *call->deployment;
+  call->urgency = std::clamp(call->route->priority, 0, 9);
+  if (call->route->is_open || deployment.customers.empty()) {
+    return std::nullopt;
+  }
+  const auto customer = deployment.customer_of_key.find(call->headers.key);
+  if (call->headers.key.empty() ||
+      customer == deployment.customer_of_key.end()) {
+    return Refuse(401, "unknown_key");
+  }
+  call->customer = customer->second;
+  const int priority = deployment.customers.at(call->customer).priority;
+  if (priority >= 0) {
+    call->urgency = std::min(priority, 9);
+  }
+  return std::nullopt;
+}
+
+std::optional<EdgeRefusal> FindService(EdgeCall* call) {
+  const uint64_t draw = XXH3_64bits(call->headers.request_id.data(),
+                                    call->headers.request_id.size());
+  const std::string name = ChooseService(*call->route, draw);
+  const auto service = call->deployment->services.find(name);
+  if (service == call->deployment->services.end()) {
+    return Refuse(503, "no_service", kLongReturn);
+  }
+  call->service = &service->second;
+  return std::nullopt;
+}
+
+// What of the prompt others share: all parts but the caller's own, for the same
+// model and adapter.
+void FindSharedPrompt(EdgeCall* call) {
+  const auto& parts = call->headers.prompt;
+  if (parts.size() < 2) {
+    return;
+  }
+  call->shared_prompt = call->headers.model + "/" + call->headers.adapter;
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    call->shared_prompt += " " + parts[i].id;
+    call->shared_tokens += parts[i].tokens;
+  }
+}
+
+}  // namespace
+
+EdgeRefusal Refuse(int status,
+                   std::string code,
+                   std::optional<Duration> retry_after) {
+  return {status, std::move(code), retry_after};
+}
+
+std::optional<EdgeRefusal> Prepare(EdgeCall* call) {
+  Edge& edge = *call->edge;
+  call->headers = platform::ParseCallerHeaders(call->request);
+  call->deployment = edge.deployment;
+  if (!call->deployment) {
+    return Refuse(503, "no_configuration", kShortReturn);
+  }
+  if (call->headers.request_id.empty()) {
+    return Refuse(400, "no_request_id");
+  }
+  call->route = FindRoute(*call->deployment, HeaderOf(call->request, "Host"),
+                          call->request.target);
+  if (call->route == nullptr) {
+    return Refuse(404, "no_route");
+  }
+  if (auto refusal = FindCustomer(call)) {
+    return refusal;
+  }
+  if (auto refusal = FindService(call)) {
+    return refusal;
+  }
+  const Duration limit = call->route->answer_limit > Duration::zero()
+                             ? call->route->answer_limit
+                             : edge.settings.answer_limit;
+  call->deadline =
+      call->arrived + std::min(limit, call->headers.time_left.value_or(limit));
+  call->fingerprint = Fingerprint(*call);
+  FindSharedPrompt(call);
+  if (IsCrasher(*call)) {
+    return Refuse(503, "crashes_runners", kCrasherReturn);
+  }
+  return std::nullopt;
+}
+
+std::optional<EdgeRefusal> Admit(EdgeCall* call) {
+  const auto customer = call->deployment->customers.find(call->customer);
+  if (customer == call->deployment->customers.end()) {
+    return std::nullopt;
+  }
+  const double cost =
+      TokenCost(customer->second, call->headers.states_tokens,
+                call->headers.prompt_tokens, call->headers.output_tokens);
+  const Time now = Now();
+  const TokenDecision decision =
+      SpendTokens(customer->second, cost, call->edge->settings.rate_window,
+                  FleetQuorum(*call->edge, now), now, &call->edge->tokens);
+  if (decision.admitted) {
+    call->cost = cost;
+    return std::nullopt;
+  }
+  return Refuse(429, "over_rate", std::max(decision.retry_after, kShortReturn));
+}
+
+void ReturnTokens(const EdgeCall& call) {
+  const auto customer = call.deployment->customers.find(call.customer);
+  if (call.runs == 0 && customer != call.deployment->customers.end()) {
+    RefundTokens(customer->second, call.cost, Now(), &call.edge->tokens);
+  }
+}
+
+}  // namespace rosemaryhook
--- /dev/null
+++ b/rosemaryhook/edge_lists.h
@@ -0,0 +1,41 @@
+// Takes in rows of the store's lists: what operators want, and which backend
+// servers there are.
+//
+//   ApplyRunnerRows(rows, is_whole, &edge);
+//
+// `is_whole` says that the rows are the whole table, not changes. Nothing waits
+// here.
+#ifndef ROSEMARYHOOK_EDGE_LISTS_H_
+#define ROSEMARYHOOK_EDGE_LISTS_H_
+
+#include "rosemaryhook/edge.h"
+
+namespace rosemaryhook {
+
+void ApplyOperatorRows(const StoreRows& rows, bool is_whole, Edge* edge);
+void ApplyRunnerRows(const StoreRows& rows, bool is_whole, Edge* edge);
+
+// A list is up to date. After a gap in which entries of backend servers, which
+// check in every `heartbeat`, may have lapsed, `regained` is set.
+void NoteListFresh(Duration heartbeat, Time now, StoreContact* contact);
+
+// The store answered this host for `list`.
+void NoteStoreAnswer(const char* list,
+                     Duration heartbeat,
+                     Time now,
+                     StoreContact* contact);
+
+// Takes in a row of the operators' table. False if it cannot be read: what was
+// in force before stays.
+bool ApplyOperatorRow(const StoreRow& row, Time now, Edge* edge);
+
+// Takes in a row of the list of backend servers. `trust_from`: entries that
+// vanish before it may have lapsed in an outage and count as listed until then.
+void ApplyRunnerRow(const StoreRow& row, Time now, Time trust_from, Edge* edge);
+
+// Ends what was only kept because of an outage, and forgets what is long gone.
+void ExpireRunners(Time now, Edge* edge);
+
+}  // namespace rosemaryhook
+
+#endif  // ROSEMARYHOOK_EDGE_LISTS_H_
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -3,12 +3,10 @@
 // (AttemptCall), what follows from how that ended (DecideNext).
 #include "rosemaryhook/edge_requests.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "rosemaryhook/edge_admission.h"
 #include "rosemaryhook/edge_call.h"
 #include "rosemaryhook/edge_peers.h"
 #include "rosemaryhook/log.h"
@@ -18,16 +16,6 @@
 
 using EdgePtr = std::shared_ptr<Edge>;
 
-// Crashes after which a request is refused: the platform allows three retries
-// of a request that crashes what runs it.
-constexpr int kCrashesToRefuse = 3;
-
-// A caller that is told to come back does so after this at the earliest; about
-// what the load of an adapter or a few answers take.
-constexpr Duration kShortReturn = std::chrono::milliseconds(300);
-constexpr Duration kLongReturn = std::chrono::seconds(1);
-constexpr Duration kCrasherReturn = std::chrono::seconds(30);
-
 // Looks for a runner again at least this often while waiting.
 constexpr Duration kPickInterval = std::chrono::milliseconds(100);
 constexpr Duration kPacedInterval = std::chrono::milliseconds(15);
@@ -48,18 +36,6 @@
 // still come back.
 constexpr int kWaitPercent = 60;
 
-struct EdgeRefusal {
-  int status = 503;
-  std::string code;
-  std::optional<Duration> retry_after;
-};
-
-EdgeRefusal Refuse(int status,
-                   std::string code,
-                   std::optional<Duration> retry_after = std::nullopt) {
-  return {status, std::move(code), retry_after};
-}
-
 // Milliseconds from the arrival to `time`, -1 if that did not come.
 int64_t SinceArrival(const EdgeCall& call, Time time) {
   return time == Time() ? -1 : Millis(time - call.arrived);
@@ -99,121 +75,6 @@
       refusal.code + "\n");
 }
 
-std::string Fingerprint(const EdgeCall& call) {
-  // Requests without a body are alike by nature, so they are not compared.
-  if (call.request.body.empty()) {
-    return {};
-  }
-  const std::string text =
-      call.customer + "\n" + call.request.target + "\n" + call.request.body;
-  return std::to_string(XXH3_64bits(text.data(), text.size()));
-}
-
-bool IsCrasher(const EdgeCall& call) {
-  return !call.fingerprint.empty() &&
-         CrashCount(call.edge->suspects, call.fingerprint, Now()) >=
-             kCrashesToRefuse;
-}
-
-std::optional<EdgeRefusal> FindCustomer(EdgeCall* call) {
-  const Deployment& deployment = *call->deployment;
-  call->urgency = std::clamp(call->route->priority, 0, 9);
-  if (call->route->is_open || deployment.customers.empty()) {
-    return std::nullopt;
-  }
-  const auto customer = deployment.customer_of_key.find(call->headers.key);
-  if (call->headers.key.empty() ||
-      customer == deployment.customer_of_key.end()) {
-    return Refuse(401, "unknown_key");
-  }
-  call->customer = customer->second;
-  const int priority = deployment.customers.at(call->customer).priority;
-  if (priority >= 0) {
-    call->urgency = std::min(priority, 9);
-  }
-  return std::nullopt;
-}
-
-std::optional<EdgeRefusal> FindService(EdgeCall* call) {
-  const uint64_t draw = XXH3_64bits(call->headers.request_id.data(),
-                                    call->headers.request_id.size());
-  const std::string name = ChooseService(*call->route, draw);
-  const auto service = call->deployment->services.find(name);
-  if (service == call->deployment->services.end()) {
-    return Refuse(503, "no_service", kLongReturn);
-  }
-  call->service = &service->second;
-  return std::nullopt;
-}
-
-// What of the prompt others share: all parts but the caller's own, for the same
-// model and adapter.
-void FindSharedPrompt(EdgeCall* call) {
-  const auto& parts = call->headers.prompt;
-  if (parts.size() < 2) {
-    return;
-  }
-  call->shared_prompt = call->headers.model + "/" + call->headers.adapter;
-  for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    call->shared_prompt += " " + parts[i].id;
-    call->shared_tokens += parts[i].tokens;
-  }
-}
-
-// What the request is for, or why it is refused.
-std::optional<EdgeRefusal> Prepare(EdgeCall* call) {
-  Edge& edge = *call->edge;
-  call->headers = platform::ParseCallerHeaders(call->request);
-  call->deployment = edge.deployment;
-  if (!call->deployment) {
-    return Refuse(503, "no_configuration", kShortReturn);
-  }
-  if (call->headers.request_id.empty()) {
-    return Refuse(400, "no_request_id");
-  }
-  call->route = FindRoute(*call->deployment, HeaderOf(call->request, "Host"),
-                          call->request.target);
-  if (call->route == nullptr) {
-    return Refuse(404, "no_route");
-  }
-  if (auto refusal = FindCustomer(call)) {
-    return refusal;
-  }
-  if (auto refusal = FindService(call)) {
-    return refusal;
-  }
-  const Duration limit = call->route->answer_limit > Duration::zero()
-                             ? call->route->answer_limit
-                             : edge.settings.answer_limit;
-  call->deadline =
-      call->arrived + std::min(limit, call->headers.time_left.value_or(limit));
-  call->fingerprint = Fingerprint(*call);
-  FindSharedPrompt(call);
-  if (IsCrasher(*call)) {
-    return Refuse(503, "crashes_runners", kCrasherReturn);
-  }
-  return std::nullopt;
-}
-
-std::optional<EdgeRefusal> Admit(EdgeCall& call) {
-  const auto customer = call.deployment->customers.find(call.customer);
-  if (customer == call.deployment->customers.end()) {
-    return std::nullopt;
-  }
-  const double cost =
-      TokenCost(customer->second, call.headers.states_tokens,
-                call.headers.prompt_tokens, call.headers.output_tokens);
-  const Time now = Now();
-  const TokenDecision decision =
-      SpendTokens(customer->second, cost, call.edge->settings.rate_window,
-                  FleetQuorum(*call.edge, now), now, &call.edge->tokens);
-  if (decision.admitted) {
-    call.cost = cost;
-    return std::nullopt;
-  }
-  return Refuse(429, "over_rate", std::max(decision.retry_after, kShortReturn));
-}
-
 WantedRunner WantedFor(const EdgeCall& call) {
   const Edge& edge = *call.edge;
   WantedRunner wanted;
@@ -373,14 +234,6 @@
   return NextStep::kGiveUp;
 }
 
-// Tokens of a request that no backend server ran go back to its customer.
-void ReturnTokens(const EdgeCall& call) {
-  const auto customer = call.deployment->customers.find(call.customer);
-  if (call.runs == 0 && customer != call.deployment->customers.end()) {
-    RefundTokens(customer->second, call.cost, Now(), &call.edge->tokens);
-  }
-}
-
 // The final answer of a request that was not served.
 awaitable<void> GiveUp(EdgeCall& call, AttemptOutcome outcome) {
   ReturnTokens(call);
@@ -470,7 +323,7 @@
     co_return co_await SendRefusal(call, *refusal);
   }
   NoteFirstSend(call.service->name, call.arrived, &edge->repeats);
-  if (const auto refusal = Admit(call)) {
+  if (const auto refusal = Admit(&call)) {
     co_return co_await SendRefusal(call, *refusal);
   }
   co_await Dispatch(call);
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -1,6 +1,7 @@
 // What a direct host takes in from the store and from other hosts.
 #include <boost/test/unit_test.hpp>
 
+#include "rosemaryhook/edge_lists.h"
 #include "rosemaryhook/edge_peers.h"
 #include "rosemaryhook/edge_store.h"
 #include "rosemaryhook/list_sharing.h"
