Pass on only what hosts do not hear from owners

Change: rows of which only the adapters changed are not passed on. Test: edge_state/a_change_of_adapters_alone_is_no_news.

--- a/rosemaryhook/edge_lists.cc
+++ b/rosemaryhook/edge_lists.cc
@@ -43,6 +43,25 @@
   }
 }
 
+bool IsSameButAdapters(const RunnerEntry& a, const RunnerEntry& b) {
+  return a.service == b.service && a.address == b.address && a.zone == b.zone &&
+         a.slots == b.slots && a.is_leaving == b.is_leaving &&
+         a.born_ms == b.born_ms && a.cold_left == b.cold_left &&
+         a.models == b.models;
+}
+
+// Whether a row of the list says something that hosts do not hear otherwise.
+bool IsRunnerNews(const StoreRow& row, const Edge& edge) {
+  const auto known = edge.runners.find(row.key);
+  if (row.is_removed || known == edge.runners.end() ||
+      !IsListed(known->second, Now())) {
+    return true;
+  }
+  const auto entry = platform::ParseRunnerEntry(row.key, row.value);
+  return Failure(entry) != nullptr ||
+         !IsSameButAdapters(std::get<RunnerEntry>(entry), known->second.entry);
+}
+
 void ReplaceRunner(RunnerEntry entry, Time now, Edge* edge) {
   RunnerView& view = edge->runners[entry.id];
   const bool is_new_start = view.entry.id.empty() ||
@@ -96,6 +115,18 @@
   contact->fresh = now;
 }
 
+std::vector<StoreRow> NewsOf(const std::string& table,
+                             const StoreRows& rows,
+                             const Edge& edge) {
+  std::vector<StoreRow> news;
+  for (const StoreRow& row : rows.rows) {
+    if (table != platform::kRunnerTable || IsRunnerNews(row, edge)) {
+      news.push_back(row);
+    }
+  }
+  return news;
+}
+
 bool ApplyOperatorRow(const StoreRow& row, Time now, Edge* edge) {
   switch (platform::ClassifyOperatorRow(row.key)) {
     case platform::OperatorRow::kConfiguration: {
--- a/rosemaryhook/edge_lists.h
+++ b/rosemaryhook/edge_lists.h
@@ -8,6 +8,9 @@
 #ifndef ROSEMARYHOOK_EDGE_LISTS_H_
 #define ROSEMARYHOOK_EDGE_LISTS_H_
 
+#include <string>
+#include <vector>
+
 #include "rosemaryhook/edge.h"
 
 namespace rosemaryhook {
@@ -25,6 +28,13 @@
                      Time now,
                      StoreContact* contact);
 
+// The rows that other hosts need to hear of: all but those of backend servers
+// of which only the adapters have changed, as owners tell of these. Asked
+// before the rows are taken in.
+std::vector<StoreRow> NewsOf(const std::string& table,
+                             const StoreRows& rows,
+                             const Edge& edge);
+
 // Takes in a row of the operators' table. False if it cannot be read: what was
 // in force before stays.
 bool ApplyOperatorRow(const StoreRow& row, Time now, Edge* edge);
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -107,9 +107,10 @@
   StoreRows& rows = std::get<StoreRows>(outcome);
   contact.version = std::max(contact.version, rows.version);
   contact.has_gap = false;
+  std::vector<StoreRow> news = NewsOf(loop.table, rows, *edge);
   loop.apply(rows, from == 0, asked);
   if (from > 0 && IsReader(edge->settings.peers, edge->hosts, Now())) {
-    SendNews({loop.table, from, rows.version, std::move(rows.rows), heard},
+    SendNews({loop.table, from, rows.version, std::move(news), heard},
              edge.get());
   }
   co_return true;
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -228,6 +228,25 @@
   BOOST_TEST(contact.version == 9);
 }
 
+// With every load of an adapter an entry changes: on a grown site more than a
+// datagram holds, all the time.
+BOOST_AUTO_TEST_CASE(a_change_of_adapters_alone_is_no_news) {
+  const auto count = [&](const StoreRow& row) {
+    return NewsOf("servers", {{row}, 9, false}, edge).size();
+  };
+  BOOST_TEST(count(Entry("i-1")) == 1U);
+  // Known by the clock of this test, not of the process: listed all the same.
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  StoreRow loaded = Entry("i-1");
+  loaded.value.replace(loaded.value.find("a1@1"), 4, "a7@2");
+  BOOST_TEST(count(loaded) == 0U);
+  BOOST_TEST(count(Entry("i-1", "draining")) == 1U);
+  BOOST_TEST(count(Entry("i-1", "ready", 2)) == 1U);
+  BOOST_TEST(count({"i-1", "", 3, true}) == 1U);
+  BOOST_TEST(count({"i-1", "garbage", 3, false}) == 1U);
+  BOOST_TEST(NewsOf("op", {{loaded}, 9, false}, edge).size() == 1U);
+}
+
 // A datagram may lie unread while the process stands still.
 BOOST_AUTO_TEST_CASE(contact_by_news_counts_from_this_hosts_own_message) {
   edge.owner_contact.version = 3;
