--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -77,7 +77,6 @@
   std::shared_ptr<const Deployment> deployment;  // null until one is known
   std::set<std::string> zones_out;
   std::map<std::string, int64_t> named_versions;  // adapter -> version
-  int64_t operator_version = 0;                   // of the store
   StoreContact operator_contact;
 
   // Backend servers.
--- a/rosemaryhook/edge_lists.cc
+++ b/rosemaryhook/edge_lists.cc
@@ -220,7 +220,6 @@
   for (const StoreRow& row : rows.rows) {
     ApplyOperatorRow(row, now, edge);
   }
-  edge->operator_version = std::max(edge->operator_version, rows.version);
   NotifyRunnerChange(edge);
 }
 
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -54,7 +54,7 @@
   contact->is_lost = true;
 }
 
-// A loop over one table: `apply` takes rows in, `tick` runs after each look.
+// A loop over one table; `apply` takes in what a look showed.
 struct TableLoop {
   const char* table;
   const char* what;
--- a/rosemaryhook/testing/token_limits_restart_test.cc
+++ b/rosemaryhook/testing/token_limits_restart_test.cc
@@ -1,47 +1,12 @@
-#include "rosemaryhook/token_limits.h"
-
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <utility>
 #include <vector>
 
-namespace rosemaryhook {
-namespace {
-
-constexpr double kRate = 1000;
-constexpr double kBurst = 500;
-constexpr double kWindowS = 8;
-constexpr Duration kWindow = std::chrono::seconds(8);
-
-CustomerRule Customer() {
-  CustomerRule customer;
-  customer.name = "marsu";
-  customer.rate = kRate;
-  customer.burst = kBurst;
-  return customer;
-}
-
-Time At(double seconds) {
-  return Time(std::chrono::seconds(100)) +
-         Duration(static_cast<int64_t>(seconds * 1e6));
-}
-
-// The slow version: what was admitted and when.
-using Ledger = std::vector<std::pair<double, double>>;
+#include "rosemaryhook/testing/token_ledger.h"
 
-double MostInWindow(const Ledger& ledger) {
-  double most = 0;
-  double sum = 0;
-  size_t oldest = 0;
-  for (const auto& [time, tokens] : ledger) {
-    sum += tokens;
-    while (ledger[oldest].first <= time - kWindowS) {
-      sum -= ledger[oldest++].second;
-    }
-    most = std::max(most, sum);
-  }
-  return most;
-}
+namespace rosemaryhook::testing {
+namespace {
 
 BOOST_AUTO_TEST_SUITE(token_limits_restart)
 
@@ -100,4 +65,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace rosemaryhook
+}  // namespace rosemaryhook::testing
--- a/rosemaryhook/testing/token_limits_test.cc
+++ b/rosemaryhook/testing/token_limits_test.cc
@@ -1,52 +1,17 @@
-#include "rosemaryhook/token_limits.h"
-
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <utility>
 #include <vector>
 
-namespace rosemaryhook {
-namespace {
-
-constexpr double kRate = 1000;
-constexpr double kBurst = 500;
-constexpr double kWindowS = 8;
-constexpr Duration kWindow = std::chrono::seconds(8);
+#include "rosemaryhook/testing/token_ledger.h"
 
-CustomerRule Customer() {
-  CustomerRule customer;
-  customer.name = "marsu";
-  customer.rate = kRate;
-  customer.burst = kBurst;
-  return customer;
-}
-
-Time At(double seconds) {
-  return Time(std::chrono::seconds(100)) +
-         Duration(static_cast<int64_t>(seconds * 1e6));
-}
+namespace rosemaryhook::testing {
+namespace {
 
 TokenDecision Spend(double cost, double now, TokenLimits* limits) {
   return SpendTokens(Customer(), cost, kWindow, {}, At(now), limits);
 }
 
-// The slow version: what was admitted and when.
-using Ledger = std::vector<std::pair<double, double>>;
-
-double MostInWindow(const Ledger& ledger) {
-  double most = 0;
-  double sum = 0;
-  size_t oldest = 0;
-  for (const auto& [time, tokens] : ledger) {
-    sum += tokens;
-    while (ledger[oldest].first <= time - kWindowS) {
-      sum -= ledger[oldest++].second;
-    }
-    most = std::max(most, sum);
-  }
-  return most;
-}
-
 // Every host is asked for far more than the whole rate and tells the others of
 // its group every quarter of a second; some messages are lost.
 Ledger Flood(const std::vector<int>& group, double lost_part, double seconds) {
@@ -195,4 +160,4 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace rosemaryhook
+}  // namespace rosemaryhook::testing
