Tell each host what it needs; tell a suspect once

Every message of every host bore all suspected requests of the last ten minutes, after a crash hundreds; all its loads; all adapters in use; news bore what was heard of all 79 hosts; and each of some 190 adapter changes a second went to all at once. Choosing a runner added up 79 hosts' loads for each of 140 runners. Lists were up to 8 s old, so rules with bounds broke.

Change: a suspect is told once and only refused ones again; loads and adapters in use go to the runner's owner, who tells the sum; news says to each host what was heard of it alone; with more than 16 hosts a change of adapters goes at once to those that asked for it and to others with the next message; how long an adapter counts as in use follows the interval of messages.

Ruled out: the store itself, whose calls stayed under half of its rate.

--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -16,9 +16,9 @@
 // Callers that wait ask again at shorter intervals than this.
 constexpr Duration kWantedSpan = std::chrono::milliseconds(1500);
 
-// An adapter used within this time is not dropped: hosts tell four times a
-// second what runs, so one whose message was lost is still covered.
-constexpr Duration kRecentUse = std::chrono::milliseconds(700);
+// An adapter used within this many intervals at which hosts tell what runs is
+// not dropped, so one whose message was lost is still covered.
+constexpr double kRecentIntervals = 2.8;
 
 // Between telling the hosts that an adapter goes and dropping it: a message
 // between zones and a request on its way.
@@ -40,10 +40,9 @@
 // While a runner waits to drop an adapter, it is asked this often.
 constexpr Duration kLeavingInterval = std::chrono::milliseconds(100);
 
-// A version is replaced once nothing has run on it for this long: runs report
-// themselves at shorter intervals, and the runner takes no other order while
-// it waits for runs to end.
-constexpr Duration kReplaceAfter = std::chrono::milliseconds(400);
+// A version is replaced once nothing has run on it for this many intervals:
+// the runner takes no other order while it waits for runs to end.
+constexpr double kReplaceIntervals = 1.6;
 
 // A report that shows an adapter is believed for this long when requests for
 // it are refused.
@@ -100,9 +99,9 @@
   std::string victim;
   Time oldest = Time::max();
   for (const auto& [adapter, place] : plan.adapters) {
-    const bool may_go = place.phase == PlacePhase::kHeld &&
-                        place.ask_again <= now &&
-                        now - place.last_used >= kRecentUse;
+    const bool may_go =
+        place.phase == PlacePhase::kHeld && place.ask_again <= now &&
+        now - place.last_used >= plan.tell_interval * kRecentIntervals;
     const bool is_wanted =
         std::any_of(plan.waiting.begin(), plan.waiting.end(),
                     [&name = adapter](const WaitingAdapter& waiting) {
@@ -126,7 +125,8 @@
     if (place != plan->adapters.end()) {
       // Held at an older version: the load replaces it in its place.
       if (place->second.phase == PlacePhase::kHeld &&
-          now - place->second.last_used >= kReplaceAfter) {
+          now - place->second.last_used >=
+              plan->tell_interval * kReplaceIntervals) {
         return PlanStep{StepKind::kLoad, waiting.adapter, waiting.version};
       }
       continue;
@@ -365,6 +365,16 @@
   plan->adapters = std::move(adapters);
 }
 
+bool IsAwaited(const AdapterPlan& plan, const std::string& adapter) {
+  const auto place = plan.adapters.find(adapter);
+  return (place != plan.adapters.end() &&
+          place->second.phase == PlacePhase::kComing) ||
+         std::any_of(plan.waiting.begin(), plan.waiting.end(),
+                     [&](const WaitingAdapter& waiting) {
+                       return waiting.adapter == adapter;
+                     });
+}
+
 HeldAdapters UsableAdapters(const AdapterPlan& plan) {
   HeldAdapters held;
   for (const auto& [adapter, place] : plan.adapters) {
--- a/rosemaryhook/adapter_plan.h
+++ b/rosemaryhook/adapter_plan.h
@@ -57,6 +57,8 @@
   bool is_model_ordered = false;  // its load was accepted
   Time model_due;                 // when to order it, or to ask whether it came
   int places = 0;
+  // Between messages in which hosts tell what runs on the runner.
+  Duration tell_interval = std::chrono::milliseconds(250);
   bool is_known = false;    // a report has been taken in
   Time report_due;          // when to ask for one, if not known
   int64_t order_count = 0;  // orders that the runner accepted
@@ -107,6 +109,9 @@
 // Takes in a report that the runner made no earlier than the last order.
 void NoteReport(const RunnerReport& report, Time now, AdapterPlan* plan);
 
+// Whether somebody waits for `adapter` or its load is under way.
+bool IsAwaited(const AdapterPlan& plan, const std::string& adapter);
+
 // What requests may be sent for: adapters held and not about to go.
 HeldAdapters UsableAdapters(const AdapterPlan& plan);
 
--- a/rosemaryhook/edge.cc
+++ b/rosemaryhook/edge.cc
@@ -29,6 +29,10 @@
   return std::clamp(scaled, kShortestInterval, kLongestInterval);
 }
 
+bool TellsChangesAtOnce(size_t hosts) {
+  return hosts <= kFewHosts;
+}
+
 Duration HeardSpan(size_t hosts) {
   return std::max(kLeastHeardSpan, TellInterval(hosts) * 5 / 2);
 }
--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -44,6 +44,7 @@
   explicit OwnedRunner(const asio::any_io_executor& executor)
       : changed(executor) {}
   AdapterPlan plan;
+  std::map<std::string, std::set<std::string>> askers;  // adapter -> addresses
   Signal changed;
   bool is_ended = false;
 };
@@ -101,12 +102,15 @@
   int64_t message_number = 0;
   std::map<int64_t, Time> message_times;  // own newest messages -> when sent
   std::map<std::string, std::set<std::string>> used_adapters;  // to tell
-  std::set<std::string> owned_changed;  // runners to tell of
-  Signal tell_signal;                   // wakes the loop that tells the others
+  std::set<std::string> owned_changed;  // runners to tell all of
+  // Address of a host that asked -> runners to tell it of at once.
+  std::map<std::string, std::set<std::string>> answers_due;
+  Signal tell_signal;  // wakes the loop that tells the others
 
   TokenLimits tokens;
   RepeatLimits repeats;
   Suspects suspects;
+  std::set<std::string> suspects_changed;  // to tell, by fingerprint
 
   std::list<Signal*> runner_waiters;  // requests that wait for a runner
 };
@@ -115,6 +119,10 @@
 // grows with the square of the hosts, so many hosts tell less often.
 Duration TellInterval(size_t hosts);
 
+// Whether all hosts are told at once when an adapter comes or goes. Many hosts
+// hear of it with the next message, but for those that asked for it.
+bool TellsChangesAtOnce(size_t hosts);
+
 // A host not heard for this long may be cut off: two messages and a half, at
 // least 1.5 s.
 Duration HeardSpan(size_t hosts);
--- a/rosemaryhook/edge_orders.cc
+++ b/rosemaryhook/edge_orders.cc
@@ -38,24 +38,49 @@
   return view == edge.runners.end() ? nullptr : &view->second;
 }
 
+// Hosts that asked for an adapter which can be used now are told at once, as
+// their requests wait; the others hear of it with the next message. Load
+// pattern: many adapters come and go, and each is of use to few hosts.
+void AnswerAskers(const std::string& runner,
+                  const HeldAdapters& held,
+                  OwnedRunner* owned,
+                  Edge* edge) {
+  std::erase_if(owned->askers, [&](const auto& entry) {
+    const auto& [adapter, addresses] = entry;
+    if (held.contains(adapter)) {
+      for (const std::string& address : addresses) {
+        edge->answers_due[address].insert(runner);
+      }
+      return true;
+    }
+    return !IsAwaited(owned->plan, adapter);
+  });
+  if (!edge->answers_due.empty()) {
+    edge->tell_signal.Notify();
+  }
+}
+
 // Tells requests here and the other hosts what the runner holds.
-void Publish(const std::string& runner, const OwnedRunner& owned, Edge* edge) {
+void Publish(const std::string& runner, OwnedRunner* owned, Edge* edge) {
   const auto found = edge->runners.find(runner);
   if (found == edge->runners.end()) {
     return;
   }
   RunnerView& view = found->second;
-  HeldAdapters held = UsableAdapters(owned.plan);
-  const bool is_heard = owned.plan.is_known && !owned.plan.models.empty() &&
+  HeldAdapters held = UsableAdapters(owned->plan);
+  const bool is_heard = owned->plan.is_known && !owned->plan.models.empty() &&
                         MayOrder(edge->rights, runner, Now());
   view.owner_session.clear();
+  AnswerAskers(runner, held, owned, edge);
   if (held == view.held && view.is_owner_heard == is_heard) {
     return;
   }
   view.held = std::move(held);
   view.is_owner_heard = is_heard;
   edge->owned_changed.insert(runner);
-  edge->tell_signal.Notify();
+  if (TellsChangesAtOnce(edge->host_addresses.size())) {
+    edge->tell_signal.Notify();
+  }
   NotifyRunnerChange(edge);
 }
 
@@ -191,26 +216,27 @@
     }
     const Time now = Now();
     if (!MayOrder(edge->rights, runner, now) || edge->is_draining) {
-      Publish(runner, *owned, edge.get());
+      Publish(runner, owned.get(), edge.get());
       co_await owned->changed.Wait(now + kIdlePause);
       continue;
     }
+    owned->plan.tell_interval = TellInterval(edge->host_addresses.size());
     if (!owned->plan.is_model_ordered) {
       owned->plan.model_due =
           std::max(owned->plan.model_due, edge->model_load_due);
     }
     auto step = NextStepOf(now, &owned->plan);
     if (!step) {
-      Publish(runner, *owned, edge.get());
+      Publish(runner, owned.get(), edge.get());
       co_await owned->changed.Wait(NextStepTime(owned->plan, now));
       continue;
     }
     if (step->kind == StepKind::kClose) {
-      Publish(runner, *owned, edge.get());
+      Publish(runner, owned.get(), edge.get());
       continue;
     }
     co_await TakeStep(edge, runner, owned, *step);
-    Publish(runner, *owned, edge.get());
+    Publish(runner, owned.get(), edge.get());
   }
   if (const auto found = edge->owned.find(runner);
       found != edge->owned.end() && found->second == owned) {
@@ -295,7 +321,10 @@
   }
 }
 
-bool WantLoad(const LoadWish& wish, Time now, Edge* edge) {
+bool WantLoad(const LoadWish& wish,
+              const std::string& asker,
+              Time now,
+              Edge* edge) {
   const auto owned = edge->owned.find(wish.runner);
   if (owned == edge->owned.end()) {
     return false;
@@ -304,6 +333,9 @@
     NoteMissing(wish.adapter, now, &owned->second->plan);
   }
   NoteWanted(wish.adapter, wish.version, now, &owned->second->plan);
+  if (!asker.empty()) {
+    owned->second->askers[wish.adapter].insert(asker);
+  }
   owned->second->changed.Notify();
   return true;
 }
--- a/rosemaryhook/edge_orders.h
+++ b/rosemaryhook/edge_orders.h
@@ -28,7 +28,11 @@
                       Edge* edge);
 
 // Wants an adapter on an owned runner. False if this host does not own it.
-bool WantLoad(const LoadWish& wish, Time now, Edge* edge);
+// The host at `asker` is told once it can be used; empty for this one.
+bool WantLoad(const LoadWish& wish,
+              const std::string& asker,
+              Time now,
+              Edge* edge);
 
 // Requests for `adapters` were sent to an owned runner.
 void NoteAdapterUsed(const std::string& runner,
--- a/rosemaryhook/edge_peers.h
+++ b/rosemaryhook/edge_peers.h
@@ -1,4 +1,4 @@
-// Talks with the other hosts by datagram.
+// Hears the other hosts, which talk by datagram.
 #ifndef ROSEMARYHOOK_EDGE_PEERS_H_
 #define ROSEMARYHOOK_EDGE_PEERS_H_
 
@@ -19,12 +19,6 @@
 // Forgets what hosts said that are silent.
 void ExpirePeers(Time now, Edge* edge);
 
-// Tells all hosts what changed in a list.
-void SendNews(ListNews news, Edge* edge);
-
-// Asks the owner of a runner to load an adapter there.
-void SendWish(const LoadWish& wish, Edge* edge);
-
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_EDGE_PEERS_H_
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -8,7 +8,7 @@
 
 #include "rosemaryhook/edge_admission.h"
 #include "rosemaryhook/edge_call.h"
-#include "rosemaryhook/edge_peers.h"
+#include "rosemaryhook/edge_telling.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -276,6 +276,7 @@
                             !call->is_gone && Now() < call->deadline;
   if (may_be_crash && !call->fingerprint.empty()) {
     NoteCrash(call->fingerprint, Now(), &edge.suspects);
+    edge.suspects_changed.insert(call->fingerprint);
   }
 }
 
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -9,7 +9,7 @@
 #include "rosemaryhook/edge_lists.h"
 #include "rosemaryhook/edge_orders.h"
 #include "rosemaryhook/edge_owners.h"
-#include "rosemaryhook/edge_peers.h"
+#include "rosemaryhook/edge_telling.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 
@@ -92,7 +92,7 @@
   StoreContact& contact = (*edge).*loop.contact;
   const Time asked = Now();
   const int64_t from = contact.version;
-  const auto heard = edge->peer_numbers;
+  const std::map<std::string, int64_t> heard = edge->peer_numbers;
   auto outcome = co_await Look(*edge, loop, from);
   if (const auto* error = std::get_if<Error>(&outcome)) {
     NoteLost(loop.what, *error, &contact);
@@ -111,7 +111,7 @@
   std::vector<StoreRow> news = NewsOf(loop.table, rows, *edge);
   loop.apply(rows, from == 0, asked);
   if (from > 0 && IsReader(edge->settings.peers, edge->hosts, Now())) {
-    SendNews({loop.table, from, rows.version, std::move(news), heard},
+    SendNews({loop.table, from, rows.version, std::move(news)}, heard,
              edge.get());
   }
   co_return true;
@@ -205,10 +205,7 @@
   contact.version = std::max(contact.version, news.to);
   NoteListFresh(edge->settings.heartbeat, now, &contact);
   // The store was asked after this host sent the message that had been heard.
-  const auto heard = news.heard.find(edge->session);
-  const auto sent = heard == news.heard.end()
-                        ? edge->message_times.end()
-                        : edge->message_times.find(heard->second);
+  const auto sent = edge->message_times.find(news.heard);
   const Time asked = sent == edge->message_times.end() ? Time() : sent->second;
   if (news.list == platform::kOperatorTable) {
     ApplyOperatorRows(rows, false, edge);
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -62,7 +62,7 @@
                            row.at(1).get<std::string>(),
                            row.at(2).get<int64_t>(), row.at(3).get<bool>()});
     }
-    read.heard = item.at(4).get<std::map<std::string, int64_t>>();
+    read.heard = item.at(4).get<int64_t>();
     news.push_back(std::move(read));
   }
   return news;
@@ -79,6 +79,7 @@
   message.news = NewsFromJson(json.value("d", Json::array()));
   message.spent = Field<std::map<std::string, double>>(json, "t");
   message.loads = LoadsFromJson(json.value("r", Json::object()));
+  message.totals = LoadsFromJson(json.value("q", Json::object()));
   message.used = Field<std::map<std::string, std::set<std::string>>>(json, "u");
   message.owned = Field<std::map<std::string, HeldAdapters>>(json, "o");
   for (const Json& wish : json.value("w", Json::array())) {
@@ -111,6 +112,7 @@
   add("d", NewsToJson(message.news));
   add("t", message.spent);
   add("r", LoadsToJson(message.loads));
+  add("q", LoadsToJson(message.totals));
   add("u", message.used);
   add("o", message.owned);
   add("w", WishesToJson(message.wishes));
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -32,8 +32,8 @@
   int64_t from = 0;  // version of the store before
   int64_t to = 0;    // and after
   std::vector<platform::StoreRow> rows;
-  // Session -> its newest message that had come when the store was asked.
-  std::map<std::string, int64_t> heard;
+  // The receiver's newest message that had come when the store was asked.
+  int64_t heard = 0;
 };
 
 struct PeerMessage {
@@ -47,6 +47,7 @@
   std::map<std::string, RunnerLoad> loads;  // runner -> sent by this host
   // Runner -> adapters that requests of this host run on or ended on lately.
   std::map<std::string, std::set<std::string>> used;
+  std::map<std::string, RunnerLoad> totals;  // owned runner -> of all hosts
   std::map<std::string, HeldAdapters> owned;  // runner -> usable adapters
   std::vector<LoadWish> wishes;
   std::vector<ListNews> news;
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -170,12 +170,16 @@
 }  // namespace
 
 RunnerLoad TotalLoad(const RunnerView& view) {
-  RunnerLoad total = view.own;
-  for (const auto& [session, load] : view.peers) {
-    total.running += load.running;
-    total.prompt_tokens += load.prompt_tokens;
+  return {view.own.running + view.others.running,
+          view.own.prompt_tokens + view.others.prompt_tokens};
+}
+
+void SumPeers(RunnerView* view) {
+  view->others = RunnerLoad();
+  for (const auto& [session, load] : view->peers) {
+    view->others.running += load.running;
+    view->others.prompt_tokens += load.prompt_tokens;
   }
-  return total;
 }
 
 void NotePrompt(const std::string& key, Time now, PromptMemory* memory) {
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -57,7 +57,11 @@
 struct RunnerView {
   RunnerEntry entry;
   RunnerLoad own;                           // sent by this host
+  RunnerLoad own_told;                      // what the owner knows of it
   std::map<std::string, int> own_adapters;  // adapter -> its requests under way
+  // Sent by the other hosts, as the owner counts it; where there is no owner,
+  // and at the owner, the sum of `peers`.
+  RunnerLoad others;
   std::map<std::string, RunnerLoad> peers;  // by session
   RunnerHealth health;
   RunnerPace pace;
@@ -71,9 +75,12 @@
   Time lapsed_until;  // missing since an outage; gone if still missing then
 };
 
-// Requests of all hosts.
+// Requests of all hosts. O(1), as it is asked for each runner of each choice.
 RunnerLoad TotalLoad(const RunnerView& view);
 
+// Recomputes `others` from `peers`.
+void SumPeers(RunnerView* view);
+
 // Milliseconds until the first token of a further request whose own prompt has
 // `prompt_tokens` to be read, roughly.
 double WaitEstimate(const RunnerView& view, double prompt_tokens);
--- a/rosemaryhook/suspects.cc
+++ b/rosemaryhook/suspects.cc
@@ -82,6 +82,27 @@
   return json;
 }
 
+Suspects SuspectsToTell(const Suspects& suspects,
+                        const std::set<std::string>& changed,
+                        bool is_full,
+                        Time now) {
+  Suspects told;
+  const auto add = [&](const std::string& fingerprint) {
+    if (const Suspect* suspect = Find(suspects, fingerprint, now)) {
+      told.by_fingerprint[fingerprint] = *suspect;
+    }
+  };
+  for (const std::string& fingerprint : changed) {
+    add(fingerprint);
+  }
+  for (const auto& [fingerprint, suspect] : suspects.by_fingerprint) {
+    if (is_full && suspect.crashes >= kCrashesToRefuse) {
+      add(fingerprint);
+    }
+  }
+  return told;
+}
+
 void MergeSuspects(const Json& json, Time now, Suspects* suspects) {
   if (!json.is_object()) {
     return;
--- a/rosemaryhook/suspects.h
+++ b/rosemaryhook/suspects.h
@@ -12,6 +12,7 @@
 #define ROSEMARYHOOK_SUSPECTS_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "rosemaryhook/fleet_state.h"
@@ -55,6 +56,15 @@
 // For messages: remaining time in place of the deadline.
 Json SuspectsToJson(const Suspects& suspects, Time now);
 
+// What to tell other hosts: what has `changed` here, and in a full message the
+// refused ones again. Load pattern: when a backend server crashes, all that ran
+// there is suspected; told again and again that would be most of the bytes
+// between hosts.
+Suspects SuspectsToTell(const Suspects& suspects,
+                        const std::set<std::string>& changed,
+                        bool is_full,
+                        Time now);
+
 // Takes over entries with more crashes than known here. Entries that do not
 // parse are passed over.
 void MergeSuspects(const Json& json, Time now, Suspects* suspects);
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -157,6 +157,61 @@
   BOOST_TEST(!view.is_owner_heard);
 }
 
+// Load pattern: many hosts send to one runner; its owner counts for all.
+BOOST_AUTO_TEST_CASE(the_owner_of_a_runner_counts_its_requests) {
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  RunnerView& view = edge.runners.at("i-1");
+  // Not owned by anybody: what each host says counts.
+  for (const char* session : {"a", "b"}) {
+    PeerMessage message = From(session, 1);
+    message.loads["i-1"] = {3, 100};
+    ApplyPeerMessage(message, At(1), &edge);
+  }
+  BOOST_TEST(TotalLoad(view).running == 6);
+  // With an owner its total counts, less what it knows of this host's.
+  view.own = {5, 0};
+  view.own_told = {2, 0};
+  PeerMessage owner = From("a", 2);
+  owner.owned["i-1"] = {};
+  owner.totals["i-1"] = {12, 700};
+  ApplyPeerMessage(owner, At(1.1), &edge);
+  BOOST_TEST(TotalLoad(view).running == 15);
+  BOOST_TEST(TotalLoad(view).prompt_tokens == 700);
+  // What another host says of its own is in the total already.
+  PeerMessage other = From("b", 2);
+  other.loads["i-1"] = {9, 0};
+  ApplyPeerMessage(other, At(1.2), &edge);
+  BOOST_TEST(TotalLoad(view).running == 15);
+  // A total of a host that is not the owner is none.
+  other = From("b", 3);
+  other.totals["i-1"] = {99, 0};
+  ApplyPeerMessage(other, At(1.3), &edge);
+  BOOST_TEST(TotalLoad(view).running == 15);
+  // The owner falls silent: what the others say counts again.
+  other = From("b", 4);
+  ApplyPeerMessage(other, At(3.9), &edge);
+  ExpirePeers(At(4), &edge);
+  BOOST_TEST(TotalLoad(view).running == 14);
+}
+
+// A host that waits for an adapter hears of it at once, though it is usable
+// already and nothing changes.
+BOOST_AUTO_TEST_CASE(who_asks_for_what_is_there_is_answered) {
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &edge);
+  edge.owned["i-1"] = std::make_shared<OwnedRunner>(edge.io.get_executor());
+  edge.runners.at("i-1").held = {{"m/a5", 2}};
+  PeerMessage message = From("a", 1);
+  message.wishes.push_back({"i-1", "m/a5", 2});
+  ApplyPeerMessage(message, At(1), &edge);
+  BOOST_TEST(edge.answers_due["10.0.0.2:7600"].contains("i-1"));
+  edge.answers_due.clear();
+  message = From("a", 2);
+  message.wishes.push_back({"i-1", "m/a6", 1});
+  ApplyPeerMessage(message, At(1), &edge);
+  BOOST_TEST(edge.answers_due.empty());
+  BOOST_TEST(edge.owned["i-1"]->askers["m/a6"].contains("10.0.0.2:7600"));
+}
+
 // Messages grow with the square of the hosts.
 BOOST_AUTO_TEST_CASE(many_hosts_tell_less_often) {
   for (const size_t hosts : {1U, 8U, 16U}) {
@@ -254,11 +309,11 @@
 BOOST_AUTO_TEST_CASE(contact_by_news_counts_from_this_hosts_own_message) {
   edge.owner_contact.version = 3;
   edge.message_times[41] = At(10);
-  ListNews news{"owners", 3, 4, {}, {{"self", 41}}};
+  ListNews news{"owners", 3, 4, {}, 41};
   ApplyNews(news, At(30), &edge);
   BOOST_TEST((edge.rights.contact == At(10)));
   // News that does not say what was heard of this host proves no contact.
-  news = {"owners", 4, 5, {}, {}};
+  news = {"owners", 4, 5, {}, 0};
   ApplyNews(news, At(31), &edge);
   BOOST_TEST((edge.rights.contact == At(10)));
 }
--- a/rosemaryhook/testing/suspects_test.cc
+++ b/rosemaryhook/testing/suspects_test.cc
@@ -41,6 +41,22 @@
   BOOST_TEST(here.by_fingerprint.size() == 1U);
 }
 
+// Load pattern: a backend server crashes with hundreds of requests.
+BOOST_AUTO_TEST_CASE(hosts_are_told_of_a_suspect_once_and_of_a_crasher_again) {
+  Suspects suspects;
+  for (int i = 0; i < 300; ++i) {
+    NoteCrash(std::to_string(i), At(0), &suspects);
+  }
+  NoteCrash("7", At(1), &suspects);
+  const auto told = [&](std::set<std::string> changed, bool is_full) {
+    return SuspectsToTell(suspects, changed, is_full, At(2)).by_fingerprint;
+  };
+  BOOST_TEST(told({"1", "2"}, false).size() == 2U);
+  BOOST_TEST(told({}, false).empty());
+  BOOST_TEST(told({}, true).size() == 1U);
+  BOOST_TEST(told({}, true).contains("7"));
+}
+
 BOOST_AUTO_TEST_CASE(memory_is_bounded) {
   Suspects suspects;
   for (size_t i = 0; i < kMaxSuspects + 50; ++i) {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -3,7 +3,8 @@
   adapter_plan api backend_state booking claims contact deployment edge_state
   event_cutter fleet_state http_io membership order_rights placement
   platform_codec rates repeat_limits retries routing runner_choice settings
-  sheet suspects token_limits token_limits_restart warm_up)
+  sheet suspects token_limits token_limits_restart token_record
+  warm_up)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
@@ -76,6 +77,25 @@
     PROCESSORS 2 TIMEOUT 300)
 endforeach()
 
+# Faults at random, by seed. The seeds of tests/ that ever failed are listed with
+# their causes in docs/DEVELOPERS.md and run here too.
+add_executable(soak rosemaryhook/testing/soak.cc
+  rosemaryhook/testing/soak_callers.cc rosemaryhook/testing/soak_checks.cc
+  rosemaryhook/testing/fault_proxy.cc rosemaryhook/testing/site.cc
+  rosemaryhook/testing/processes.cc)
+target_link_libraries(soak PRIVATE rosemaryhook CLI11::CLI11)
+target_compile_definitions(soak PRIVATE
+  ROSEMARYHOOK_PROGRAMS="$<TARGET_FILE_DIR:rosemaryhookd>")
+target_precompile_headers(soak REUSE_FROM rosemaryhook)
+add_dependencies(soak rosemaryhookd fake_site)
+set(SOAK_PORT 27000)
+foreach(seed 1)
+  add_test(NAME soak.seed_${seed} COMMAND soak --seed ${seed} --seconds 25
+    --port ${SOAK_PORT})
+  set_tests_properties(soak.seed_${seed} PROPERTIES PROCESSORS 2 TIMEOUT 300)
+  math(EXPR SOAK_PORT "${SOAK_PORT} + 100")
+endforeach()
+
 # The core protocols and each rule taken away, by the model checker.
 add_test(NAME model.protocols COMMAND ${CMAKE_SOURCE_DIR}/model/check)
 set_tests_properties(model.protocols PROPERTIES TIMEOUT 900)
