--- a/rosemaryhook/testing/bare_forwarder.cc
+++ b/rosemaryhook/testing/bare_forwarder.cc
@@ -10,6 +10,29 @@
 namespace rosemaryhook::testing {
 namespace {
 
+// Headers of a connection or of one message's framing.
+bool IsPassedOn(std::string_view name) {
+  for (const std::string_view own :
+       {"Host", "Connection", "Content-Length", "Transfer-Encoding"}) {
+    if (beast::iequals(beast::string_view(name.data(), name.size()),
+                       beast::string_view(own.data(), own.size()))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Headers HeadersOf(const HttpRequest& request) {
+  Headers headers;
+  for (const auto& field : request.fields) {
+    const std::string name(field.name_string());
+    if (IsPassedOn(name)) {
+      headers.emplace_back(name, std::string(field.value()));
+    }
+  }
+  return headers;
+}
+
 awaitable<void> Forward(HttpPool* pool,
                         std::string to,
                         const HttpRequest& request,
@@ -18,15 +41,19 @@
   call.address = std::move(to);
   call.method = request.method;
   call.target = request.target;
+  call.headers = HeadersOf(request);
   call.body = request.body;
   call.deadline = Now() + std::chrono::seconds(30);
   HttpExchange exchange(pool);
-  const auto started = co_await exchange.Start(std::move(call));
+  auto started = co_await exchange.Start(std::move(call));
   if (Failure(started) != nullptr) {
     reply.Abort();
     co_return;
   }
-  co_await reply.Begin(std::get<HttpHead>(started).status, Headers());
+  HttpHead& head = std::get<HttpHead>(started);
+  std::erase_if(head.headers,
+                [](const auto& header) { return !IsPassedOn(header.first); });
+  co_await reply.Begin(head.status, std::move(head.headers));
   while (true) {
     auto chunk = co_await exchange.ReadChunk();
     if (Failure(chunk) != nullptr) {
--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -41,6 +41,7 @@
   std::string id;
   std::string service;
   std::string address;
+  std::string advertised;  // address in its entry
   std::string zone;
   bool has_engine = false;
   bool is_leaving = false;
@@ -63,6 +64,7 @@
   std::map<std::string, int> runs;  // request id -> how often it ran
   std::map<std::string, std::string> customers;  // request id -> customer
   Json orders = Json::array();
+  Duration work;      // time of a plain backend server for a request
   std::string leaks;  // headers that no backend server may see
 };
 
@@ -401,7 +403,7 @@
   if (backend->has_engine) {
     co_await StreamEvents(site, request, reply, std::move(headers));
   } else {
-    co_await Sleep(std::chrono::milliseconds(15));
+    co_await Sleep(site->work);
     co_await reply.Send(200, std::move(headers), "ok " + request.body);
   }
 }
@@ -439,7 +441,7 @@
       FinishLoads(backend.get());
       const std::string entry = Json{
           {"service", backend->service},
-          {"address", backend->address},
+          {"address", backend->advertised},
           {"zone", backend->zone},
           {"version", "v1"},
           {"slots", 8},
@@ -479,10 +481,16 @@
 
 }  // namespace
 
-int Run(const std::string& ip, int port, int runners, int services) {
+int Run(const std::string& ip,
+        int port,
+        int runners,
+        int services,
+        int advertise_port,
+        Duration work) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context io(1);
   Site site(io);
+  site.work = work;
   Add(&site, fmt::format("{}:{}", ip, port),
       [&site](const HttpRequest& request, HttpReply& reply) {
         return ServeStore(&site, request, reply);
@@ -493,6 +501,7 @@
     backend->id = fmt::format("i-{}", i);
     backend->service = backend->has_engine ? "chat" : "booking";
     backend->address = fmt::format("{}:{}", ip, port + 1 + i);
+    backend->advertised = fmt::format("{}:{}", ip, advertise_port + i);
     backend->zone = fmt::format("zone-{}", i % 2);
     if (backend->has_engine) {
       backend->models = {"base"};
@@ -512,10 +521,18 @@
   int port = 25000;
   int runners = 2;
   int services = 1;
+  int work_ms = 15;
+  int advertise_port = 0;
   app.add_option("--ip", ip, "address of all ports");
   app.add_option("--port", port, "the store's; backend servers follow");
   app.add_option("--runners", runners, "model runners");
   app.add_option("--services", services, "plain backend servers");
+  app.add_option("--advertise-port", advertise_port,
+                 "of the first backend server's entry; where it listens if 0");
+  app.add_option("--work-ms", work_ms, "a plain backend server's time");
   CLI11_PARSE(app, argc, argv);
-  return rosemaryhook::testing::Run(ip, port, runners, services);
+  return rosemaryhook::testing::Run(
+      ip, port, runners, services,
+      advertise_port == 0 ? port + 1 : advertise_port,
+      std::chrono::milliseconds(work_ms));
 }
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -39,12 +39,21 @@
   platform_ = {"platform",
                {Program("fake_site"), "--port", std::to_string(options_.port),
                 "--runners", std::to_string(options_.runners), "--services",
-                std::to_string(options_.services)},
+                std::to_string(options_.services), "--work-ms",
+                std::to_string(options_.work_ms), "--advertise-port",
+                std::to_string(options_.port + (options_.is_proxied ? 70 : 1))},
                0};
   Start(platform_);
   Await(30,
         [&] { return Exchange(Address(0), "GET", "/ledger").status == 200; });
   Configure(1, {kKey});
+  if (options_.hosts > 0) {
+    AddHosts(options_.hosts);
+  }
+}
+
+void Site::AddHosts(int count) {
+  options_.hosts = count;
   for (int i = 0; i < options_.hosts; ++i) {
     const std::string file = fmt::format("{}/host{}.yaml", folder_, i);
     std::ofstream(file) << Settings(i);
@@ -62,6 +71,9 @@
 }
 
 Site::~Site() {
+  for (Process& other : others_) {
+    Kill(other);
+  }
   for (Process& host : hosts_) {
     Kill(host);
   }
@@ -81,7 +93,15 @@
       "readiness: {}\npeers: {}\noperators: {}\ntable: {}\n"
       "heartbeat_ms: 500\ndrain_limit_ms: 8000\norder_lease_ms: 1000\n",
       host, host % 2, Callers(host), Readiness(host), Address(50 + host),
-      Operators(host), Address(0));
+      Operators(host), options_.is_proxied ? StoreProxy(host) : Store());
+}
+
+void Site::Launch(const std::string& name,
+                  const std::string& program,
+                  std::vector<std::string> arguments) {
+  arguments.insert(arguments.begin(), Program(program));
+  others_.push_back({name, std::move(arguments), 0});
+  Start(others_.back());
 }
 
 void Site::Start(Process& process) {
@@ -98,7 +118,15 @@
 }
 
 int Site::Terminate(Process& process) {
-  kill(process.pid, SIGTERM);
+  Signal(process, SIGTERM);
+  return AwaitEnd(process);
+}
+
+void Site::Signal(const Process& process, int signal) const {
+  kill(process.pid, signal);
+}
+
+int Site::AwaitEnd(Process& process) {
   const int exit_code = WaitFor(process.pid);
   process.pid = 0;
   return exit_code;
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -26,6 +26,10 @@
   int services = 1;
   double rate = 1e6;
   double burst = 1e6;
+  int work_ms = 15;  // of a backend server without a model
+  // Hosts reach the store and backend servers at other ports, where the caller
+  // puts a proxy: StoreProxy and BackendProxy.
+  bool is_proxied = false;
 };
 
 class Site {
@@ -39,10 +43,25 @@
   std::string Callers(int i) const { return Address(30 + i); }
   std::string Readiness(int i) const { return Address(40 + i); }
   std::string Operators(int i) const { return Address(60 + i); }
+  std::string Backend(int i) const { return Address(1 + i); }  // runners first
+  std::string Store() const { return Address(0); }
+  std::string StoreProxy(int host) const { return Address(20 + host); }
+  std::string BackendProxy(int i) const { return Address(70 + i); }
+
+  // Starts a further program of the build.
+  void Launch(const std::string& name,
+              const std::string& program,
+              std::vector<std::string> arguments);
+
+  // Starts hosts and waits until all backend servers with models are owned.
+  // The constructor does so for SiteOptions::hosts.
+  void AddHosts(int count);
 
   void Start(Process& process);
   void Kill(Process& process);
   int Terminate(Process& process);
+  void Signal(const Process& process, int signal) const;
+  int AwaitEnd(Process& process);  // the exit code
 
   // Requests with the key of customer marsu.
   Reply Ask(int host, const std::string& id, const std::string& adapter);
@@ -64,6 +83,7 @@
   Json Ledger() const;
   int Runs(const std::string& id) const;  // how often a request ran
   std::string LogOf(int host) const;
+  const std::string& folder() const { return folder_; }
   bool AwaitReady(int host) const;
   int RunnersOwned() const;  // by all hosts
 
@@ -75,6 +95,7 @@
   std::string folder_;
   Process platform_;
   std::vector<Process> hosts_;
+  std::vector<Process> others_;
 };
 
 }  // namespace rosemaryhook::testing
