Tell owners of loads within 50 ms; count requests that wait as load

Hosts heard of each other's requests once a second, by way of the owner twice, so all sent to the holder that they last saw idle: up to 64 requests on 16 slots within a second (4210 and others: three to nine holders each). Ruled out: the time waited before sending (most had none); requests' own prompts (83 us a token, idle or busy).

Test: herd_test replays forty hosts and six holders: more than twice the slots with news once a second, less with urgent news.

Open: a new version of a hot adapter stops its requests for a second; store calls at a start.

--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -16,9 +16,9 @@
 // Callers that wait ask again at shorter intervals than this.
 constexpr Duration kWantedSpan = std::chrono::milliseconds(1500);
 
-// An adapter used within this many intervals at which hosts tell what runs is
-// not dropped, so one whose message was lost is still covered.
-constexpr double kRecentIntervals = 2.8;
+// An adapter used within this time is not dropped: hosts tell its owner four
+// times a second what runs, so one whose message was lost is still covered.
+constexpr Duration kRecentUse = std::chrono::milliseconds(700);
 
 // Between telling the hosts that an adapter goes and dropping it: a message
 // between zones and a request on its way.
@@ -40,9 +40,10 @@
 // While a runner waits to drop an adapter, it is asked this often.
 constexpr Duration kLeavingInterval = std::chrono::milliseconds(100);
 
-// A version is replaced once nothing has run on it for this many intervals:
-// the runner takes no other order while it waits for runs to end.
-constexpr double kReplaceIntervals = 1.6;
+// A version is replaced once nothing has run on it for this long: runs report
+// themselves at shorter intervals, and the runner takes no other order while
+// it waits for runs to end.
+constexpr Duration kReplaceAfter = std::chrono::milliseconds(400);
 
 // A report that shows an adapter is believed for this long when requests for
 // it are refused.
@@ -99,9 +100,9 @@
   std::string victim;
   Time oldest = Time::max();
   for (const auto& [adapter, place] : plan.adapters) {
-    const bool may_go =
-        place.phase == PlacePhase::kHeld && place.ask_again <= now &&
-        now - place.last_used >= plan.tell_interval * kRecentIntervals;
+    const bool may_go = place.phase == PlacePhase::kHeld &&
+                        place.ask_again <= now &&
+                        now - place.last_used >= kRecentUse;
     const bool is_wanted =
         std::any_of(plan.waiting.begin(), plan.waiting.end(),
                     [&name = adapter](const WaitingAdapter& waiting) {
@@ -125,8 +126,7 @@
     if (place != plan->adapters.end()) {
       // Held at an older version: the load replaces it in its place.
       if (place->second.phase == PlacePhase::kHeld &&
-          now - place->second.last_used >=
-              plan->tell_interval * kReplaceIntervals) {
+          now - place->second.last_used >= kReplaceAfter) {
         return PlanStep{StepKind::kLoad, waiting.adapter, waiting.version};
       }
       continue;
--- a/rosemaryhook/adapter_plan.h
+++ b/rosemaryhook/adapter_plan.h
@@ -57,8 +57,6 @@
   bool is_model_ordered = false;  // its load was accepted
   Time model_due;                 // when to order it, or to ask whether it came
   int places = 0;
-  // Between messages in which hosts tell what runs on the runner.
-  Duration tell_interval = std::chrono::milliseconds(250);
   bool is_known = false;    // a report has been taken in
   Time report_due;          // when to ask for one, if not known
   int64_t order_count = 0;  // orders that the runner accepted
--- a/rosemaryhook/edge_orders.cc
+++ b/rosemaryhook/edge_orders.cc
@@ -220,7 +220,6 @@
       co_await owned->changed.Wait(now + kIdlePause);
       continue;
     }
-    owned->plan.tell_interval = TellInterval(edge->host_addresses.size());
     if (!owned->plan.is_model_ordered) {
       owned->plan.model_due =
           std::max(owned->plan.model_due, edge->model_load_due);
--- a/rosemaryhook/edge_requests.cc
+++ b/rosemaryhook/edge_requests.cc
@@ -165,14 +165,54 @@
        {"list_age_ms", Millis(Now() - call.edge->runner_contact.fresh)}});
 }
 
+// Counts a request that waits for an adapter as load of the runner that will
+// hold it. Load pattern: demand jumps to an adapter that nobody holds, and the
+// first runner that has it would get all who waited at once; counted, they make
+// the next home load it meanwhile.
+class WaitCount {
+ public:
+  explicit WaitCount(double prompt_tokens) : prompt_tokens_(prompt_tokens) {}
+  ~WaitCount() { MoveTo(nullptr); }
+  WaitCount(const WaitCount&) = delete;
+  WaitCount& operator=(const WaitCount&) = delete;
+
+  void MoveTo(RunnerView* view) {
+    Add(-1);
+    view_ = view;
+    Add(1);
+  }
+
+ private:
+  void Add(int count) {
+    if (view_ != nullptr) {
+      view_->own.running += count;
+      view_->own.prompt_tokens += count * prompt_tokens_;
+    }
+  }
+
+  RunnerView* view_ = nullptr;
+  double prompt_tokens_;
+};
+
+void CountWaiting(const WantedRunner& wanted, Edge* edge, WaitCount* count) {
+  const auto pending = edge->pending_loads.find(wanted.adapter);
+  if (pending == edge->pending_loads.end()) {
+    return;
+  }
+  const auto view = edge->runners.find(pending->second.runner);
+  count->MoveTo(view == edge->runners.end() ? nullptr : &view->second);
+}
+
 // The runner to send to, after waiting for one that holds the adapter. Empty if
 // none can serve the request in time.
 awaitable<std::string> PickRunner(EdgeCall& call) {
   Edge& edge = *call.edge;
   const Time wait_until = call.arrived + Patience(call) * kWaitPercent / 100;
   bool is_waiting = false;
+  WaitCount waiting(call.headers.prompt_tokens);
   while (!call.is_gone) {
     const Time now = Now();
+    waiting.MoveTo(nullptr);
     const WantedRunner wanted = WantedFor(call);
     const RunnerChoice choice = ChooseRunner(edge.runners, wanted, now);
     if (choice.runner != nullptr && choice.is_resident) {
@@ -190,6 +230,7 @@
     }
     if (choice.runner != nullptr) {
       AskForLoad(wanted.adapter, choice.runner->entry.id, wanted, &edge);
+      CountWaiting(wanted, &edge, &waiting);
     }
     if (!std::exchange(is_waiting, true)) {
       LogWait(call, choice);
--- a/rosemaryhook/edge_telling.cc
+++ b/rosemaryhook/edge_telling.cc
@@ -16,6 +16,14 @@
 
 constexpr int kFullTicks = 4;
 
+// Between looks at loads that others should hear of at once: a request takes a
+// few hundred ms at a runner.
+constexpr Duration kLoadInterval = std::chrono::milliseconds(50);
+
+// Between messages to owners about the adapters in use. adapter_plan.cc relies
+// on it.
+constexpr Duration kUsedInterval = std::chrono::milliseconds(250);
+
 // Several changes within this time go in one message.
 constexpr Duration kGatherSpan = std::chrono::milliseconds(2);
 
@@ -204,6 +212,29 @@
   }
 }
 
+// Load pattern: demand jumps to an adapter; all hosts send to the runner that
+// holds it until they hear that it is full, 64 requests on 16 slots within a
+// second. So owners hear of requests within kLoadInterval, and tell all at once
+// when the wait at a runner has changed much.
+void AddUrgentLoads(Told* told, Edge* edge, Outgoing* out) {
+  for (auto& [id, view] : edge->runners) {
+    if (IsOwn(edge->rights, id)) {
+      const RunnerLoad total = TotalLoad(view);
+      if (IsUrgentChange(told->totals[id], total, view)) {
+        out->common.totals[id] = total;
+        told->totals[id] = total;
+      }
+      continue;
+    }
+    const std::string counter = CounterOf(*edge, id, view);
+    if (!counter.empty() && !IsSame(told->loads[id], view.own)) {
+      out->extras[counter].loads[id] = view.own;
+      told->loads[id] = view.own;
+      view.own_told = view.own;
+    }
+  }
+}
+
 void SendOutgoing(Outgoing out, bool is_full, Edge* edge) {
   const bool is_for_all = is_full || !IsEmpty(out.common);
   const std::string bytes = EncodePeerMessage(out.common);
@@ -232,7 +263,6 @@
   AddOwned(is_full, edge, &out.common);
   AddLoads(is_full, told, edge, &out);
   AddSpent(*edge, is_full, told, &out.common);
-  AddUsed(edge, &out);
   out.common.suspects = SuspectsToJson(
       SuspectsToTell(edge->suspects, std::exchange(edge->suspects_changed, {}),
                      is_full, now),
@@ -264,8 +294,26 @@
   }
 }
 
-awaitable<void> TellLoop(EdgePtr edge) {
-  Told told;
+awaitable<void> TellLoadsLoop(EdgePtr edge, std::shared_ptr<Told> told) {
+  Time used_due = Now();
+  while (!edge->is_stopping) {
+    co_await Sleep(kLoadInterval);
+    Outgoing out;
+    AddUrgentLoads(told.get(), edge.get(), &out);
+    if (Now() >= used_due) {
+      used_due = Now() + kUsedInterval;
+      AddUsed(edge.get(), &out);
+    }
+    if (!out.common.totals.empty() || !out.extras.empty()) {
+      const auto totals = std::move(out.common.totals);
+      out.common = NewMessage(edge.get());
+      out.common.totals = totals;
+      SendOutgoing(std::move(out), false, edge.get());
+    }
+  }
+}
+
+awaitable<void> TellLoop(EdgePtr edge, std::shared_ptr<Told> told) {
   Time tick = Now();
   while (!edge->is_stopping) {
     const bool is_due = !edge->answers_due.empty() ||
@@ -279,7 +327,7 @@
       TellAtOnce(edge.get());
       continue;
     }
-    TellTick(&told, edge.get());
+    TellTick(told.get(), edge.get());
     tick = Now() + TellInterval(edge->host_addresses.size());
   }
 }
@@ -287,7 +335,9 @@
 }  // namespace
 
 void StartTelling(const EdgePtr& edge) {
-  asio::co_spawn(edge->io, TellLoop(edge), asio::detached);
+  const auto told = std::make_shared<Told>();
+  asio::co_spawn(edge->io, TellLoop(edge, told), asio::detached);
+  asio::co_spawn(edge->io, TellLoadsLoop(edge, told), asio::detached);
 }
 
 void SendNews(ListNews news,
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -4,6 +4,7 @@
 #include "rosemaryhook/runner_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "rosemaryhook/placement.h"
 
@@ -204,15 +205,24 @@
                               kLeastSlowness, kMostSlowness);
 }
 
-double WaitEstimate(const RunnerView& view, double prompt_tokens) {
-  const RunnerLoad load = TotalLoad(view);
+double WaitOf(const RunnerLoad& load, const RunnerView& view) {
   const int queued = std::max(0, load.running + 1 - view.entry.slots);
-  const double first = prompt_tokens > 0 ? kFirstTokenMs : 0;
-  return view.pace.slowness * (first + (load.prompt_tokens + prompt_tokens) /
-                                           kPromptTokensPerMs) +
+  return view.pace.slowness * load.prompt_tokens / kPromptTokensPerMs +
          kMsPerRunning * load.running + kMsPerQueued * queued;
 }
 
+bool IsUrgentChange(const RunnerLoad& told,
+                    const RunnerLoad& now,
+                    const RunnerView& view) {
+  return std::abs(WaitOf(now, view) - WaitOf(told, view)) >= kHomeMs;
+}
+
+double WaitEstimate(const RunnerView& view, double prompt_tokens) {
+  const double first = prompt_tokens > 0 ? kFirstTokenMs : 0;
+  return view.pace.slowness * (first + prompt_tokens / kPromptTokensPerMs) +
+         WaitOf(TotalLoad(view), view);
+}
+
 bool IsListed(const RunnerView& view, Time now) {
   const bool has_lapsed =
       view.lapsed_until != Time() && now >= view.lapsed_until;
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -81,6 +81,15 @@
 // Recomputes `others` from `peers`.
 void SumPeers(RunnerView* view);
 
+// Milliseconds that `load` means for a further request at the runner.
+double WaitOf(const RunnerLoad& load, const RunnerView& view);
+
+// Whether all hosts should hear at once that the load of a runner is `now` and
+// no longer what they were `told`.
+bool IsUrgentChange(const RunnerLoad& told,
+                    const RunnerLoad& now,
+                    const RunnerView& view);
+
 // Milliseconds until the first token of a further request whose own prompt has
 // `prompt_tokens` to be read, roughly.
 double WaitEstimate(const RunnerView& view, double prompt_tokens);
--- /dev/null
+++ b/rosemaryhook/testing/herd_test.cc
@@ -0,0 +1,149 @@
+// Load pattern: demand jumps to one adapter, which forty hosts are asked for
+// alike. Replays what hosts know of each other's requests, and when.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <random>
+
+#include "rosemaryhook/runner_choice.h"
+
+namespace rosemaryhook::testing {
+namespace {
+
+constexpr int kHosts = 40;
+constexpr int kHolders = 6;
+constexpr int kSlots = 16;
+constexpr double kPerSecond = 70;
+constexpr double kRunS = 0.8;
+constexpr double kPromptTokens = 640;
+constexpr double kReadMsPerToken = 1.0 / 12;
+constexpr double kTickS = 0.01;
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(100)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+struct Runner {
+  double read_until = 0;                       // its prompts in a row
+  std::vector<std::pair<double, int>> ends;    // of running requests, by host
+  std::vector<std::pair<double, int>> firsts;  // when prompts will be read
+};
+
+struct Replay {
+  std::vector<RunnerViews> hosts;
+  std::vector<Runner> runners;
+  std::vector<RunnerLoad> told;
+  int most_running = 0;
+
+  Replay() : hosts(kHosts), runners(kHolders), told(kHolders) {
+    for (RunnerViews& views : hosts) {
+      for (int i = 0; i < kHolders; ++i) {
+        RunnerView& view = views[std::to_string(i)];
+        view.entry.id = std::to_string(i);
+        view.entry.service = "chat";
+        view.entry.slots = kSlots;
+        view.entry.models = {"m"};
+        view.held = {{"m/a", 1}};
+        view.is_owner_heard = true;
+      }
+    }
+  }
+
+  RunnerView& View(int host, int runner) {
+    return hosts[host].at(std::to_string(runner));
+  }
+
+  void Send(int host, double now) {
+    WantedRunner wanted;
+    wanted.service = "chat";
+    wanted.model = "m";
+    wanted.adapter = "m/a";
+    wanted.has_engine = true;
+    wanted.prompt_tokens = kPromptTokens;
+    const RunnerChoice choice = ChooseRunner(hosts[host], wanted, At(now));
+    const int chosen = std::stoi(choice.runner->entry.id);
+    Runner& runner = runners[chosen];
+    RunnerView& view = View(host, chosen);
+    ++view.own.running;
+    view.own.prompt_tokens += kPromptTokens;
+    runner.read_until = std::max(runner.read_until, now) +
+                        kPromptTokens * kReadMsPerToken / 1000;
+    runner.firsts.emplace_back(runner.read_until, host);
+    runner.ends.emplace_back(runner.read_until + kRunS, host);
+    most_running = std::max(most_running, static_cast<int>(runner.ends.size()));
+  }
+
+  void Finish(double now) {
+    for (int i = 0; i < kHolders; ++i) {
+      std::erase_if(runners[i].firsts, [&](const auto& first) {
+        const bool is_read = first.first <= now;
+        View(first.second, i).own.prompt_tokens -= is_read ? kPromptTokens : 0;
+        return is_read;
+      });
+      std::erase_if(runners[i].ends, [&](const auto& end) {
+        const bool has_ended = end.first <= now;
+        View(end.second, i).own.running -= has_ended ? 1 : 0;
+        return has_ended;
+      });
+    }
+  }
+
+  // The owner knows all; hosts hear it if it tells.
+  void Tell(bool is_tick) {
+    for (int i = 0; i < kHolders; ++i) {
+      RunnerLoad total;
+      for (int host = 0; host < kHosts; ++host) {
+        total.running += View(host, i).own.running;
+        total.prompt_tokens += View(host, i).own.prompt_tokens;
+      }
+      if (!is_tick && !IsUrgentChange(told[i], total, View(0, i))) {
+        continue;
+      }
+      told[i] = total;
+      for (int host = 0; host < kHosts; ++host) {
+        RunnerView& view = View(host, i);
+        view.others = {total.running - view.own.running,
+                       total.prompt_tokens - view.own.prompt_tokens};
+      }
+    }
+  }
+};
+
+// `urgent_ticks`: between looks at urgent changes, 0 for none.
+int MostRunning(int urgent_ticks) {
+  std::mt19937 random(3);
+  Replay replay;
+  for (int tick = 0; tick < 1500; ++tick) {
+    const double now = tick * kTickS;
+    replay.Finish(now);
+    if (urgent_ticks > 0 && tick % urgent_ticks == 0) {
+      replay.Tell(false);
+    }
+    if (tick % 100 == 0) {
+      replay.Tell(true);
+    }
+    std::poisson_distribution<int> arrivals(kPerSecond * kTickS);
+    for (int n = arrivals(random); n > 0; --n) {
+      replay.Send(static_cast<int>(random() % kHosts), now);
+    }
+  }
+  return replay.most_running;
+}
+
+BOOST_AUTO_TEST_SUITE(herd)
+
+// A runner with twice its slots makes half of its callers wait for a whole run.
+BOOST_AUTO_TEST_CASE(hosts_do_not_all_send_to_the_runner_they_last_saw_idle) {
+  BOOST_TEST(MostRunning(5) <= 2 * kSlots);
+}
+
+// What telling once a second alone led to.
+BOOST_AUTO_TEST_CASE(the_replay_shows_the_herd_without_urgent_news) {
+  BOOST_TEST(MostRunning(0) > 2 * kSlots);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook::testing
