Refuse requests that bear two of a header that decides who asks for what

Found with the demo: of two Authorization headers the first was taken, so a request could be read in two ways by two programs in a row. Now 400, not run, for two keys, request ids, models or token counts. The table in platform_codec_test failed first; the demo sends one.

--- a/rosemaryhook/edge_admission.cc
+++ b/rosemaryhook/edge_admission.cc
@@ -96,6 +96,9 @@
   if (call->headers.request_id.empty()) {
     return Refuse(400, "no_request_id");
   }
+  if (call->headers.is_ambiguous) {
+    return Refuse(400, "doubled_header");
+  }
   call->route = FindRoute(*call->deployment, HeaderOf(call->request, "Host"),
                           call->request.target);
   if (call->route == nullptr) {
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -158,6 +158,31 @@
   BOOST_TEST(!base.contains("adapter"));
 }
 
+BOOST_AUTO_TEST_CASE(a_doubled_header_makes_a_request_ambiguous) {
+  struct Case {
+    std::string name;
+    std::string first;
+    std::string second;
+    bool is_ambiguous;
+  };
+  const Case cases[] = {
+      {"Authorization", "Bearer k1", "Bearer k2", true},
+      {"authorization", "Bearer k1", "Bearer k1", true},
+      {"X-Attempt-Id", "a", "b", true},
+      {"X-Model", "m/a1", "m/a2", true},
+      {"X-Token-Usage", "1,1", "9,9", true},
+      {"X-Other", "1", "2", false},
+  };
+  for (const Case& c : cases) {
+    HttpRequest request = Request({{"Host", "a.example"}});
+    request.fields.insert(c.name, c.first);
+    BOOST_TEST(!ParseCallerHeaders(request).is_ambiguous, c.name);
+    request.fields.insert(c.name, c.second);
+    BOOST_TEST(ParseCallerHeaders(request).is_ambiguous == c.is_ambiguous,
+               c.name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(callers_cannot_set_the_systems_headers) {
   const HttpRequest request = Request({{"Host", "a.example"},
                                        {"X-Attempt-Id", "id1"},
