--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -106,8 +106,7 @@
   // Address of a host that asked -> runners to tell it of at once.
   std::map<std::string, std::set<std::string>> answers_due;
   std::map<std::string, ListNews> last_news;  // by list, if this host reads
-  bool is_greeting_due = false;  // tell all, as they are known only now
-  Signal tell_signal;            // wakes the loop that tells the others
+  Signal tell_signal;  // wakes the loop that tells the others
 
   TokenLimits tokens;
   RepeatLimits repeats;
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -180,8 +180,6 @@
         edge->host_addresses.insert(row.key);
       }
       edge->has_joined = true;
-      edge->is_greeting_due = true;
-      edge->tell_signal.Notify();
       Log("joined", {{"hosts", edge->host_addresses.size()}});
       co_return;
     }
--- a/rosemaryhook/edge_telling.cc
+++ b/rosemaryhook/edge_telling.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "rosemaryhook/edge_orders.h"
+#include "rosemaryhook/list_sharing.h"
 
 namespace rosemaryhook {
 namespace {
@@ -37,9 +38,6 @@
 // Own messages whose times are kept: some ten seconds of them.
 constexpr size_t kMessageTimes = 256;
 
-// Longer news is not sent along; the hosts then read for themselves.
-constexpr size_t kLargestNews = 8 << 10;
-
 // Session, address and zone, as in every message.
 PeerMessage NewMessage(Edge* edge) {
   PeerMessage message;
@@ -327,16 +325,12 @@
 awaitable<void> TellLoop(EdgePtr edge, std::shared_ptr<Told> told) {
   Time tick = Now();
   while (!edge->is_stopping) {
-    const bool is_due = edge->is_greeting_due || !edge->answers_due.empty() ||
+    const bool is_due = !edge->answers_due.empty() ||
                         (!edge->owned_changed.empty() &&
                          TellsChangesAtOnce(edge->host_addresses.size()));
     if (!is_due) {
       co_await edge->tell_signal.Wait(tick);
     }
-    if (std::exchange(edge->is_greeting_due, false)) {
-      told->full_due = Now();
-      tick = Now();
-    }
     if (Now() < tick) {
       co_await Sleep(kGatherSpan);
       TellAtOnce(edge.get());
@@ -371,11 +365,7 @@
 void SendNews(ListNews news,
               const std::map<std::string, int64_t>& heard,
               Edge* edge) {
-  size_t bytes = 0;
-  for (const StoreRow& row : news.rows) {
-    bytes += row.key.size() + row.value.size();
-  }
-  if (bytes > kLargestNews) {
+  if (IsTooLong(news)) {
     news.rows.clear();
     news.from = news.to;  // whoever is behind sees a gap
   }
--- a/rosemaryhook/list_sharing.cc
+++ b/rosemaryhook/list_sharing.cc
@@ -42,10 +42,19 @@
   return to > known ? NewsUse::kApply : NewsUse::kOld;
 }
 
+bool IsTooLong(const ListNews& news) {
+  size_t bytes = 0;
+  for (const platform::StoreRow& row : news.rows) {
+    bytes += row.key.size() + row.value.size();
+  }
+  return bytes > kLargestNews;
+}
+
 ListNews MergeNews(const ListNews& older, ListNews newer) {
   if (older.to != newer.from) {
     return newer;
   }
+  const ListNews alone = newer;
   for (const platform::StoreRow& row : older.rows) {
     const bool is_changed_again =
         std::any_of(newer.rows.begin(), newer.rows.end(),
@@ -55,7 +64,7 @@
     }
   }
   newer.from = older.from;
-  return newer;
+  return IsTooLong(newer) ? alone : newer;
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/list_sharing.h
+++ b/rosemaryhook/list_sharing.h
@@ -10,6 +10,7 @@
 #ifndef ROSEMARYHOOK_LIST_SHARING_H_
 #define ROSEMARYHOOK_LIST_SHARING_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -43,8 +44,14 @@
 };
 NewsUse JudgeNews(int64_t from, int64_t to, int64_t known);
 
+// Longer news is not sent along; the hosts then read for themselves. Sent to
+// eighty hosts it is half a second of the slowest link.
+constexpr size_t kLargestNews = 8 << 10;
+bool IsTooLong(const ListNews& news);
+
 // `newer` with the rows of `older` before it, so that a host that missed the
-// older news misses nothing. Rows that changed twice are there once.
+// older news misses nothing; `newer` alone if that were too long. Rows that
+// changed twice are there once.
 ListNews MergeNews(const ListNews& older, ListNews newer);
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -329,6 +329,9 @@
   BOOST_TEST(merged.rows[0].value == "2");
   BOOST_TEST(merged.rows[1].key == "b");
   BOOST_TEST((JudgeNews(merged.from, merged.to, 4) == NewsUse::kApply));
+  // A long list is not sent twice.
+  const ListNews list{"op", 1, 3, {{"config", std::string(9000, 'x'), 3}}, 0};
+  BOOST_TEST(MergeNews(list, ListNews{"op", 3, 4, {}, 0}).from == 3);
   // With a gap between them the older says nothing of the newer's beginning.
   const ListNews apart{"servers", 7, 9, {}, 0};
   BOOST_TEST(MergeNews(older, apart).from == 7);
