Ask in the soak for no more adapters than the runners can hold

Traced in its logs: the probe asked for a tenth adapter while the callers kept nine in use on nine places; no place was idle for 0.7 s until 1.92 s had passed, so the refusal (no_runner_in_time, not run) was true. The check stays: all probes must be served. Callers ask for seven adapters now and probes for the same seven, which three runners with three places can hold.

--- a/rosemaryhook/testing/soak.cc
+++ b/rosemaryhook/testing/soak.cc
@@ -257,8 +257,9 @@
                                    SoakKind::kLook, SoakKind::kBook};
     for (int i = 0; i < kProbes; ++i) {
       const int host = i % options_.hosts;
-      SoakRequest probe = SendSoakRequest(
-          site_.Callers(host), fmt::format("probe-{}", i), kKinds[i % 4], i);
+      SoakRequest probe =
+          SendSoakRequest(site_.Callers(host), fmt::format("probe-{}", i),
+                          kKinds[i % 4], i % kSoakAdapters);
       if (probe.reply.status != 200) {
         broken.push_back(fmt::format(
             "{} ({}) got {} from host {} {} s after the last fault", probe.id,
--- a/rosemaryhook/testing/soak_callers.cc
+++ b/rosemaryhook/testing/soak_callers.cc
@@ -24,7 +24,6 @@
 constexpr int kDeadlineMs = 4000;
 constexpr auto kPatience = std::chrono::milliseconds(kDeadlineMs + 1500);
 constexpr auto kPause = std::chrono::milliseconds(20);
-constexpr int kAdapters = 9;  // more than the places of two runners
 constexpr int kRequestsKept = 12;
 
 constexpr NameTable<SoakKind, 5> kKindNames{{
@@ -171,7 +170,8 @@
             .count();
     // Squared, so that some adapters are asked for far more than others.
     std::uniform_real_distribution<double> draw(0, 1);
-    const int adapter = static_cast<int>(kAdapters * std::sqrt(draw(random)));
+    const int adapter =
+        static_cast<int>(kSoakAdapters * std::sqrt(draw(random)));
     Exchange(Build(request, adapter), connection.get(), &request.reply);
     {
       const std::lock_guard<std::mutex> lock(mutex_);
--- a/rosemaryhook/testing/soak_callers.h
+++ b/rosemaryhook/testing/soak_callers.h
@@ -23,6 +23,10 @@
 
 std::string_view SoakKindName(SoakKind kind);
 
+// More than the places of two runners of three, fewer than those of all: what
+// is asked for all the time can be held.
+constexpr int kSoakAdapters = 7;
+
 struct SoakRequest {
   std::string id;
   SoakKind kind = SoakKind::kAsk;
