--- /dev/null
+++ b/rosemaryhook/testing/order_rights_leaving_test.cc
@@ -0,0 +1,37 @@
+#include <boost/test/unit_test.hpp>
+
+#include "rosemaryhook/order_rights.h"
+
+namespace rosemaryhook {
+namespace {
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(100)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+BOOST_AUTO_TEST_SUITE(order_rights_leaving)
+
+// A host that drains gives no more orders and is heard until its end. Its
+// runners must have another owner meanwhile.
+BOOST_AUTO_TEST_CASE(runners_of_an_owner_that_leaves_are_claimed_at_once) {
+  OrderRights rights;
+  rights.session = "s-own";
+  rights.address = "a";
+  rights.zone = "z1";
+  rights.started = At(-20);
+  rights.rows["i-1"] = {"s-old", "b", 5};
+  std::map<std::string, HeardHost> hosts;
+  bool is_claimed = false;
+  for (int tick = 0; tick <= 4 && !is_claimed; ++tick) {
+    const Time now = At(tick * 0.25);
+    hosts["s-old"] = {"s-old", "b", "z1", now, true, true};
+    is_claimed = !PlanOwnerClaims({{"i-1", "z1"}}, hosts, now, &rights).empty();
+  }
+  BOOST_TEST(is_claimed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -164,6 +164,13 @@
   return Send(host, "/book/1", {{"X-Attempt-Id", id}}, "pig " + id);
 }
 
+std::map<std::string, std::string> Site::LookHeaders(const std::string& id,
+                                                     int backend) {
+  return {{"X-Attempt-Id", id},
+          {"X-Deadline-Ms", kDeadlineMs},
+          {"X-Expect-Instance", fmt::format("i-{}", backend)}};
+}
+
 void Site::Configure(int version, const std::vector<std::string>& keys) {
   const Json engine{{"slots", 8},
                     {"weight_size", 1200.0},
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -74,6 +74,11 @@
              std::map<std::string, std::string> headers,
              const std::string& body);
 
+  // Headers of a lookup, for the backend server `backend` if it is sent there
+  // without a host between.
+  static std::map<std::string, std::string> LookHeaders(const std::string& id,
+                                                        int backend);
+
   // Writes of the operator.
   void Configure(int version, const std::vector<std::string>& keys);
   void Set(const std::string& table, const std::string& key, const Json& value);
