Log where a configuration came from, gaps in the news, readers and late timers

The lines of a host could not tell a host out of processor from one that the store turns away or one whose readers are gone: `configuration` had no source or age, and neither gaps nor late timers had a line.

Change: `configuration` has the row's version, its source (whole, changes, news) and the age of the list before it; `news_gap`, `reader` and `late_timer` are new lines, timer_lag_seconds a new series. A timer that runs anyway is measured, so no wake-up is added. No decision changes.

--- a/rosemaryhook/edge.cc
+++ b/rosemaryhook/edge.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "rosemaryhook/names.h"
+
 namespace rosemaryhook {
 namespace {
 
@@ -22,8 +24,18 @@
 // conclude that.
 constexpr Duration kEndedSpan = std::chrono::seconds(20);
 
+constexpr NameTable<ListSource, 3> kSourceNames{{
+    {ListSource::kWhole, "whole"},
+    {ListSource::kChanges, "changes"},
+    {ListSource::kNews, "news"},
+}};
+
 }  // namespace
 
+std::string_view ListSourceName(ListSource source) {
+  return NameOf(kSourceNames, source);
+}
+
 Duration TellInterval(size_t hosts) {
   const Duration scaled = kShortestInterval * static_cast<int64_t>(hosts) /
                           static_cast<int64_t>(kFewHosts);
--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "rosemaryhook/adapter_plan.h"
 #include "rosemaryhook/deployment.h"
@@ -29,6 +30,11 @@
 
 namespace rosemaryhook {
 
+// Where what is known of a list came from last.
+enum class ListSource { kWhole, kChanges, kNews };
+
+std::string_view ListSourceName(ListSource source);
+
 // A loop's contact with the store, for logs and for judging gaps.
 struct StoreContact {
   Time answered;  // the newest answer
@@ -36,7 +42,9 @@
   bool is_lost = false;
   int64_t version = 0;   // of the store, as far as the list is known here
   Time fresh;            // when the list was last known to be up to date
+  Time fresh_before;     // the same, before what came last
   bool has_gap = false;  // news was missed
+  ListSource source = ListSource::kWhole;
 };
 
 // A runner that this host owns, and the loop that gives it orders.
@@ -106,6 +114,7 @@
   // Address of a host that asked -> runners to tell it of at once.
   std::map<std::string, std::set<std::string>> answers_due;
   std::map<std::string, ListNews> last_news;  // by list, if this host reads
+  bool is_reader = false;                     // this host reads for the others
   Signal tell_signal;  // wakes the loop that tells the others
 
   TokenLimits tokens;
--- a/rosemaryhook/edge_lists.cc
+++ b/rosemaryhook/edge_lists.cc
@@ -22,13 +22,20 @@
 // Backend servers that left are remembered this long, for answers under way.
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
 
-void ApplyDeployment(Deployment deployment, Edge* edge) {
+void ApplyDeployment(Deployment deployment,
+                     int64_t row_version,
+                     Time now,
+                     Edge* edge) {
   if (edge->deployment && deployment.version <= edge->deployment->version) {
     return;
   }
+  const StoreContact& contact = edge->operator_contact;
   Log("configuration", {{"version", deployment.version},
+                        {"row_version", row_version},
                         {"routes", deployment.routes.size()},
-                        {"customers", deployment.customers.size()}});
+                        {"customers", deployment.customers.size()},
+                        {"source", ListSourceName(contact.source)},
+                        {"list_age_ms", Millis(now - contact.fresh_before)}});
   edge->deployment = std::make_shared<const Deployment>(std::move(deployment));
   const CallerLimits& limits = edge->deployment->limits;
   if (edge->callers) {
@@ -112,6 +119,7 @@
       now - contact->fresh > heartbeat * kLapseCheckIns) {
     contact->regained = now;
   }
+  contact->fresh_before = contact->fresh;
   contact->fresh = now;
 }
 
@@ -136,7 +144,8 @@
             {{"row_version", row.version}, {"why", error->message}});
         return false;
       }
-      ApplyDeployment(std::move(std::get<Deployment>(deployment)), edge);
+      ApplyDeployment(std::move(std::get<Deployment>(deployment)), row.version,
+                      now, edge);
       return true;
     }
     case platform::OperatorRow::kZoneOut: {
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -5,6 +5,7 @@
 #include "rosemaryhook/edge_store.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "rosemaryhook/edge_lists.h"
 #include "rosemaryhook/edge_orders.h"
@@ -96,6 +97,17 @@
   SendNews(std::move(merged), heard, edge);
 }
 
+// News was missed, or was too long to be sent along.
+void NoteGap(const ListNews& news, Time now, StoreContact* contact) {
+  if (!contact->has_gap && contact->version > 0) {
+    Log("news_gap", {{"list", news.list},
+                     {"from", news.from},
+                     {"known", contact->version},
+                     {"list_age_ms", Millis(now - contact->fresh)}});
+  }
+  contact->has_gap = contact->version > 0;
+}
+
 // One look at a list; false if the store did not answer. Readers pass on what
 // they see.
 awaitable<bool> ReadOnce(EdgePtr edge, const TableLoop& loop) {
@@ -118,6 +130,7 @@
   edge->store_clock_ahead_ms = rows.clock_ms - Millis(Now().time_since_epoch());
   contact.version = std::max(contact.version, rows.version);
   contact.has_gap = false;
+  contact.source = from == 0 ? ListSource::kWhole : ListSource::kChanges;
   std::vector<StoreRow> news = NewsOf(loop.table, rows, *edge);
   loop.apply(rows, from == 0, asked);
   if (from > 0 && IsReader(edge->settings.peers, edge->hosts, Now())) {
@@ -127,10 +140,21 @@
   co_return true;
 }
 
+// Logs that this host begins or ends to read for the others.
+void NoteReader(Time now, Edge* edge) {
+  const int rank = ReaderRank(edge->settings.peers, edge->hosts, now);
+  if (std::exchange(edge->is_reader, rank < kReaders) != edge->is_reader) {
+    Log("reader", {{"state", edge->is_reader ? "reads" : "hears"},
+                   {"rank", rank},
+                   {"hosts", edge->hosts.size()}});
+  }
+}
+
 awaitable<void> Follow(EdgePtr edge, TableLoop loop) {
   Duration pause = kFirstPause;
   StoreContact& contact = (*edge).*loop.contact;
   while (!edge->is_stopping) {
+    NoteReader(Now(), edge.get());
     if (!IsToRead(*edge, contact, Now())) {
       co_await Sleep(kTurnPause);
       continue;
@@ -202,7 +226,7 @@
   StoreContact& contact = edge->*list->second;
   const NewsUse use = JudgeNews(news.from, news.to, contact.version);
   if (use == NewsUse::kGap) {
-    contact.has_gap = contact.version > 0;
+    NoteGap(news, now, &contact);
     return;
   }
   StoreRows rows;
@@ -214,6 +238,7 @@
   }
   contact.version = std::max(contact.version, news.to);
   NoteListFresh(edge->settings.heartbeat, now, &contact);
+  contact.source = ListSource::kNews;
   // The store was asked after this host sent the message that had been heard.
   const auto sent = edge->message_times.find(news.heard);
   const Time asked = sent == edge->message_times.end() ? Time() : sent->second;
--- a/rosemaryhook/edge_telling.cc
+++ b/rosemaryhook/edge_telling.cc
@@ -8,6 +8,7 @@
 
 #include "rosemaryhook/edge_orders.h"
 #include "rosemaryhook/list_sharing.h"
+#include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
 namespace {
@@ -29,6 +30,10 @@
 // on it.
 constexpr Duration kUsedInterval = std::chrono::milliseconds(250);
 
+// An event loop that runs a timer this late keeps callers waiting: a quarter of
+// the shortest objective.
+constexpr Duration kLateTimer = std::chrono::milliseconds(200);
+
 // Several changes within this time go in one message.
 constexpr Duration kGatherSpan = std::chrono::milliseconds(2);
 
@@ -303,10 +308,26 @@
   }
 }
 
+// How late a timer fired that was due at `due`: the time that everything in
+// this process waits for the processor.
+void NoteTimerLag(Time due, Edge* edge) {
+  const Duration lag = Now() - due;
+  edge->metrics.Observe("timer_lag_seconds",
+                        std::chrono::duration<double>(lag).count());
+  if (lag >= kLateTimer) {
+    Log("late_timer",
+        {{"lag_ms", Millis(lag)},
+         {"requests", edge->callers ? edge->callers->active : 0},
+         {"connections", edge->callers ? edge->callers->connections : 0}});
+  }
+}
+
 awaitable<void> TellLoadsLoop(EdgePtr edge, std::shared_ptr<Told> told) {
   Time used_due = Now();
   while (!edge->is_stopping) {
+    const Time due = Now() + kLoadInterval;
     co_await Sleep(kLoadInterval);
+    NoteTimerLag(due, edge.get());
     Outgoing out;
     AddUrgentLoads(told.get(), edge.get(), &out);
     if (Now() >= used_due) {
