Add a failing test: a long configuration at a host that the store turns away

Test: refused_host/a_long_configuration_reaches_hosts_the_store_refuses, three daemons, each in turn reset by or cut off from the store while a configuration of 80 routes follows another.

--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -171,7 +171,18 @@
           {"X-Expect-Instance", fmt::format("i-{}", backend)}};
 }
 
-void Site::Configure(int version, const std::vector<std::string>& keys) {
+void Site::Configure(int version,
+                     const std::vector<std::string>& keys,
+                     int more_routes) {
+  Json routes =
+      Json::array({RouteJson("chat", "chat", "streaming", false),
+                   RouteJson("note", "chat", "streaming", true),
+                   RouteJson("look", "booking", "idempotent", false),
+                   RouteJson("book", "booking", "non_idempotent", false)});
+  for (int i = 0; i < more_routes; ++i) {
+    routes.push_back(
+        RouteJson(fmt::format("more-{}", i), "booking", "idempotent", false));
+  }
   const Json engine{{"slots", 8},
                     {"weight_size", 1200.0},
                     {"adapter_slots", 3},
@@ -181,11 +192,7 @@
                                              {"adapter_mb", 40.0}}})}};
   Set("op", "config",
       {{"version", version},
-       {"routes",
-        Json::array({RouteJson("chat", "chat", "streaming", false),
-                     RouteJson("note", "chat", "streaming", true),
-                     RouteJson("look", "booking", "idempotent", false),
-                     RouteJson("book", "booking", "non_idempotent", false)})},
+       {"routes", routes},
        {"services",
         Json::array({{{"name", "chat"},
                       {"max_connections", 100},
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -80,7 +80,9 @@
                                                         int backend);
 
   // Writes of the operator.
-  void Configure(int version, const std::vector<std::string>& keys);
+  void Configure(int version,
+                 const std::vector<std::string>& keys,
+                 int more_routes = 0);  // "more-N", served like "look"
   void Set(const std::string& table, const std::string& key, const Json& value);
   void Unset(const std::string& table, const std::string& key);
 
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -20,10 +20,10 @@
 
 # Tests with real processes, side by side on ports of their own. Each counts as
 # two processors, as it runs several processes.
-set(PROCESS_SUITES path failure booking backend direct)
+set(PROCESS_SUITES path failure booking backend direct refused_host)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
-  rosemaryhook/testing/site.cc)
+  rosemaryhook/testing/site.cc rosemaryhook/testing/fault_proxy.cc)
 foreach(suite ${PROCESS_SUITES})
   list(APPEND PROCESS_SOURCES rosemaryhook/testing/${suite}_process_test.cc)
 endforeach()
@@ -70,7 +70,8 @@
   direct/operators_changes_take_effect
   direct/the_store_away_and_orders_unanswered
   direct/a_runner_that_restarts_empty_is_loaded_again
-  direct/hosts_that_end_cut_nothing_and_are_replaced)
+  direct/hosts_that_end_cut_nothing_and_are_replaced
+  refused_host/a_long_configuration_reaches_hosts_the_store_refuses)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
