Date news of a list by when the store was asked, not by when it was read here

What callers saw: CONFIG.

Cause: edge-etela-2-9 logs news_gap for version 18 at 28.81 s with list_age_ms=806, so at 28.0 s it had taken in news that did not know of a change made at 24.8 s, and counted its list as fresh from then on. Datagrams had lain in its socket for over three seconds. A list that is fresh is not read by the host itself, so it waited for its own backlog. Class: the age of a piece of information counted from its arrival instead of its origin.

Ruled out: a host without any processor time (no timer there was more than 0.34 s late); the store or the readers (the first host had version 18 after 0.04 s, half of them after 1.1 s); the news itself (it was sent, and read late).

Change: readers send the store's steady clock along; a list counts as known as of that time, for own reads as well. A busy host now sees that its news is old and asks the store.

Why it works: whatever waits in whatever queue, a list older than 1.3 s is read by the host itself, and that answer is dated in the same way.

Test: edge_state/news_that_lay_unread_does_not_make_a_list_fresh; with the time of arrival in place of the store's it fails (fresh at 5 s in place of 2.004 s). The same rule was in place for orders (order_rights.cc) and was missing here.

--- a/rosemaryhook/edge_lists.cc
+++ b/rosemaryhook/edge_lists.cc
@@ -19,6 +19,10 @@
 // its answers that is shorter than this many check-ins can have let none lapse.
 constexpr double kLapseCheckIns = 2.5;
 
+// The store's clock differs by less than this from what it was taken for,
+// unless it began anew: answers that are older are not waited for.
+constexpr int64_t kClockRestartMs = 10'000;
+
 // Backend servers that left are remembered this long, for answers under way.
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
 
@@ -101,26 +105,44 @@
 
 }  // namespace
 
-void NoteStoreAnswer(const char* list,
-                     Duration heartbeat,
-                     Time now,
-                     StoreContact* contact) {
+void NoteStoreClock(int64_t clock_ms, Time now, Edge* edge) {
+  // The answer was under way for a while, so each sample is too small. One that
+  // is much smaller comes from a store whose clock began anew.
+  const int64_t sample = clock_ms - Millis(now.time_since_epoch());
+  const bool is_new = edge->store_clock_ahead_ms == 0 ||
+                      sample < edge->store_clock_ahead_ms - kClockRestartMs;
+  edge->store_clock_ahead_ms =
+      is_new ? sample : std::max(edge->store_clock_ahead_ms, sample);
+}
+
+Time TimeOfStore(const Edge& edge, int64_t clock_ms, Time now) {
+  if (edge.store_clock_ahead_ms == 0 || clock_ms == 0) {
+    return now;
+  }
+  const Time time(
+      std::chrono::milliseconds(clock_ms - edge.store_clock_ahead_ms));
+  return std::min(time, now);
+}
+
+void NoteStoreAnswer(const char* list, Time now, StoreContact* contact) {
   if (contact->is_lost) {
     Log("store_regained",
         {{"list", list}, {"gap_ms", Millis(now - contact->answered)}});
   }
-  NoteListFresh(heartbeat, now, contact);
   contact->is_lost = false;
   contact->answered = now;
 }
 
-void NoteListFresh(Duration heartbeat, Time now, StoreContact* contact) {
+void NoteListFresh(Duration heartbeat,
+                   Time read,
+                   Time now,
+                   StoreContact* contact) {
   if (contact->fresh != Time() &&
-      now - contact->fresh > heartbeat * kLapseCheckIns) {
+      read - contact->fresh > heartbeat * kLapseCheckIns) {
     contact->regained = now;
   }
   contact->fresh_before = contact->fresh;
-  contact->fresh = now;
+  contact->fresh = std::max(contact->fresh, read);
 }
 
 std::vector<StoreRow> NewsOf(const std::string& table,
--- a/rosemaryhook/edge_lists.h
+++ b/rosemaryhook/edge_lists.h
@@ -18,15 +18,24 @@
 void ApplyOperatorRows(const StoreRows& rows, bool is_whole, Edge* edge);
 void ApplyRunnerRows(const StoreRows& rows, bool is_whole, Edge* edge);
 
-// A list is up to date. After a gap in which entries of backend servers, which
-// check in every `heartbeat`, may have lapsed, `regained` is set.
-void NoteListFresh(Duration heartbeat, Time now, StoreContact* contact);
+// The store's clock was `clock_ms` at some time before `now`, when its answer
+// was taken in.
+void NoteStoreClock(int64_t clock_ms, Time now, Edge* edge);
+
+// When the store's clock was `clock_ms`, by this host's clock; not before that
+// time. `now` if the store's clock is not known yet.
+Time TimeOfStore(const Edge& edge, int64_t clock_ms, Time now);
+
+// A list is known here as it was at `read`. After a gap in which entries of
+// backend servers, which check in every `heartbeat`, may have lapsed,
+// `regained` is set.
+void NoteListFresh(Duration heartbeat,
+                   Time read,
+                   Time now,
+                   StoreContact* contact);
 
 // The store answered this host for `list`.
-void NoteStoreAnswer(const char* list,
-                     Duration heartbeat,
-                     Time now,
-                     StoreContact* contact);
+void NoteStoreAnswer(const char* list, Time now, StoreContact* contact);
 
 // The rows that other hosts need to hear of: all but those of backend servers
 // of which only the adapters have changed, as owners tell of these. Asked
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -150,14 +150,13 @@
   const auto* lost = std::get_if<Error>(&outcome);
   const bool is_direct = lost == nullptr;
   if (is_direct) {
-    NoteStoreAnswer(loop.what, edge->settings.heartbeat, Now(), &contact);
+    NoteStoreAnswer(loop.what, Now(), &contact);
   } else {
     NoteLost(loop.what, *lost, &contact);
     outcome = co_await LookThroughPeer(*edge, loop, from);
     if (std::holds_alternative<Error>(outcome)) {
       co_return false;
     }
-    NoteListFresh(edge->settings.heartbeat, Now(), &contact);
   }
   if (std::holds_alternative<HistoryGone>(outcome)) {
     Log("store_history_gone", {{"list", loop.what}, {"after", from}});
@@ -165,7 +164,10 @@
     co_return true;
   }
   StoreRows& rows = std::get<StoreRows>(outcome);
-  edge->store_clock_ahead_ms = rows.clock_ms - Millis(Now().time_since_epoch());
+  const Time now = Now();
+  NoteStoreClock(rows.clock_ms, now, edge.get());
+  NoteListFresh(edge->settings.heartbeat,
+                TimeOfStore(*edge, rows.clock_ms, now), now, &contact);
   contact.version = std::max(contact.version, rows.version);
   contact.has_gap = false;
   contact.source = !is_direct  ? ListSource::kPeer
@@ -175,8 +177,9 @@
   loop.apply(rows, from == 0, asked);
   if (is_direct && from > 0 &&
       IsReader(edge->settings.peers, edge->hosts, Now())) {
-    PassOnNews({loop.table, from, rows.version, std::move(news)}, heard,
-               edge.get());
+    PassOnNews(
+        {loop.table, from, rows.version, std::move(news), 0, rows.clock_ms},
+        heard, edge.get());
   }
   co_return true;
 }
@@ -288,7 +291,9 @@
     }
   }
   contact.version = std::max(contact.version, news.to);
-  NoteListFresh(edge->settings.heartbeat, now, &contact);
+  // Datagrams may wait for seconds until a busy process reads them.
+  NoteListFresh(edge->settings.heartbeat,
+                TimeOfStore(*edge, news.clock_ms, now), now, &contact);
   contact.source = ListSource::kNews;
   // The store was asked after this host sent the message that had been heard.
   const auto sent = edge->message_times.find(news.heard);
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -44,8 +44,8 @@
       rows.push_back(
           Json::array({row.key, row.value, row.version, row.is_removed}));
     }
-    json.push_back(Json::array(
-        {item.list, item.from, item.to, std::move(rows), item.heard}));
+    json.push_back(Json::array({item.list, item.from, item.to, std::move(rows),
+                                item.heard, item.clock_ms}));
   }
   return json;
 }
@@ -63,6 +63,7 @@
                            row.at(2).get<int64_t>(), row.at(3).get<bool>()});
     }
     read.heard = item.at(4).get<int64_t>();
+    read.clock_ms = item.at(5).get<int64_t>();
     news.push_back(std::move(read));
   }
   return news;
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -34,6 +34,7 @@
   std::vector<platform::StoreRow> rows;
   // The receiver's newest message that had come when the store was asked.
   int64_t heard = 0;
+  int64_t clock_ms = 0;  // the store's steady clock when it answered
 };
 
 struct PeerMessage {
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -105,10 +105,10 @@
 BOOST_AUTO_TEST_CASE(a_late_answer_of_the_store_is_no_outage) {
   constexpr Duration kHeartbeat = std::chrono::milliseconds(1200);
   StoreContact contact;
-  NoteStoreAnswer("runners", kHeartbeat, At(1), &contact);
-  NoteStoreAnswer("runners", kHeartbeat, At(3.5), &contact);
+  NoteListFresh(kHeartbeat, At(1), At(1), &contact);
+  NoteListFresh(kHeartbeat, At(3.5), At(3.5), &contact);
   BOOST_TEST((contact.regained == Time()));
-  NoteStoreAnswer("runners", kHeartbeat, At(7), &contact);
+  NoteListFresh(kHeartbeat, At(7), At(7), &contact);
   BOOST_TEST((contact.regained == At(7)));
 }
 
@@ -286,6 +286,43 @@
   BOOST_TEST(contact.version == 9);
 }
 
+// Seen on the grown Marsu Koti with slow processors: a busy host took news that
+// had lain in its socket for three seconds for the newest, and did not look for
+// itself while a confirmed configuration was in force elsewhere.
+BOOST_AUTO_TEST_CASE(news_that_lay_unread_does_not_make_a_list_fresh) {
+  constexpr int64_t kStoreAheadMs = 5000;
+  const auto clock = [&](Time time) {
+    return Millis(time.time_since_epoch()) + kStoreAheadMs;
+  };
+  edge.settings.heartbeat = std::chrono::milliseconds(1200);
+  StoreContact& contact = edge.runner_contact;
+  contact.version = 7;
+  contact.fresh = At(1);
+  NoteStoreClock(clock(At(1)), At(1.004), &edge);
+  ListNews news = News(7, 7, {});
+  news.clock_ms = clock(At(2));
+  ApplyNews(news, At(5), &edge);
+  BOOST_TEST(Millis(At(2.004) - contact.fresh) == 0);
+  // News that was read late is no newer than what is known.
+  news.clock_ms = clock(At(1.5));
+  ApplyNews(news, At(5.1), &edge);
+  BOOST_TEST(Millis(At(2.004) - contact.fresh) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(the_store_s_time_is_never_taken_for_too_new) {
+  BOOST_TEST((TimeOfStore(edge, 1000, At(1)) == At(1)));  // not known yet
+  const int64_t base = Millis(At(0).time_since_epoch()) + 70'000;
+  // Answers that were under way for 400, 3 and 900 ms.
+  NoteStoreClock(base + 1000, At(1.4), &edge);
+  NoteStoreClock(base + 2000, At(2.003), &edge);
+  NoteStoreClock(base + 3000, At(3.9), &edge);
+  BOOST_TEST((TimeOfStore(edge, base + 3000, At(4)) == At(3.003)));
+  BOOST_TEST((TimeOfStore(edge, base + 9000, At(4)) == At(4)));
+  // A store that began anew.
+  NoteStoreClock(100, At(5), &edge);
+  BOOST_TEST((TimeOfStore(edge, 100, At(6)) == At(5)));
+}
+
 // With every load of an adapter an entry changes: on a grown site more than a
 // datagram holds, all the time.
 BOOST_AUTO_TEST_CASE(a_change_of_adapters_alone_is_no_news) {
