Go on giving orders until a host that drains has ended

Cause: a host stopped giving orders when it began to drain, but its runners could not be claimed before it had been silent for 4 s, and it was heard to its end: up to 8 s without loads.

Ruled out: claims at the beginning of the drain. Two hosts must not take turns within the lease, so every restart would cost 3.4 s without loads at each of its runners; a host that orders to its end and is back within a second costs less.

Change: an owner gives orders until its last request has ended and says then that it leaves; nothing is sent to a runner after that. Others claim 0.9 s later and wait the lease. A host that drains takes on no rows and no reading for others.

Why it works: model/orders.pml with hosts that leave holds (2,227,053 states); its new variant, orders after leaving, fails.

--- a/model/orders.pml
+++ b/model/orders.pml
@@ -13,7 +13,8 @@
      NO_WAIT        whoever takes the row over orders at once
      LEASE_ONLY     whoever takes it over waits for the lease only
      NO_CONTACT     an owner orders however long it has not heard the store
-     ADOPT_AT_ONCE  a claim found acknowledged later needs no wait */
+     ADOPT_AT_ONCE  a claim found acknowledged later needs no wait
+     ORDERS_AFTER_LEAVING  a host that said that it leaves still orders */
 
 #define CONTACT 3
 #define LEASE 2
@@ -26,6 +27,7 @@
 byte wait[3];         /* until it may order */
 byte asked[3];        /* 0: no question under way; else its age and one */
 byte view[3];         /* what the store answered */
+bool left[3];         /* said that it gives no more orders */
 byte last_owner = NOBODY;
 byte since = LEASE;   /* last order */
 
@@ -37,6 +39,12 @@
 #define TAKEOVER_WAIT (CONTACT + LEASE)
 #endif
 
+#ifdef NO_WAIT
+#define LEAVE_WAIT 0
+#else
+#define LEAVE_WAIT LEASE
+#endif
+
 #ifdef ADOPT_AT_ONCE
 #define ADOPT_WAIT 0
 #else
@@ -49,6 +57,12 @@
 #define IN_CONTACT(me) (age[me] < CONTACT)
 #endif
 
+#ifdef ORDERS_AFTER_LEAVING
+#define HAS_STOPPED(me) false
+#else
+#define HAS_STOPPED(me) left[me]
+#endif
+
 #ifdef FROM_ARRIVAL
 #define AGE_OF_ANSWER(me) 0
 #else
@@ -99,9 +113,10 @@
        view[me] = UNSAMPLED
      }
   /* A claim that is acknowledged: its condition is that the row is as known. */
-  :: atomic { asked[me] == 0 && row != me && row == known[me] ->
+  :: atomic { asked[me] == 0 && row != me && row == known[me] && !left[me] ->
        if
        :: row == NOBODY -> wait[me] = 0
+       :: row != NOBODY && left[row] -> wait[me] = LEAVE_WAIT
        :: else -> wait[me] = TAKEOVER_WAIT
        fi;
        row = me;
@@ -109,7 +124,9 @@
      }
   /* One whose acknowledgement is lost, or that is carried out late. */
   :: atomic { row != me && row == known[me] -> row = me }
-  :: atomic { known[me] == me && IN_CONTACT(me) && wait[me] == 0 ->
+  :: atomic { !left[me] -> left[me] = true }
+  :: atomic { known[me] == me && IN_CONTACT(me) && wait[me] == 0 &&
+              !HAS_STOPPED(me) ->
        assert(last_owner == NOBODY || last_owner == me || since >= LEASE);
        last_owner = me;
        since = 0
--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -80,7 +80,8 @@
   Metrics metrics;
   std::shared_ptr<HttpServer> callers;
   int64_t store_clock_ahead_ms = 0;  // the store's clock less this host's
-  bool is_draining = false;
+  bool is_draining = false;  // ends soon; gives orders until `is_leaving`
+  bool is_leaving = false;
   bool is_stopping = false;
 
   // What operators want.
--- a/rosemaryhook/edge_daemon.cc
+++ b/rosemaryhook/edge_daemon.cc
@@ -11,6 +11,7 @@
 #include "rosemaryhook/edge_peers.h"
 #include "rosemaryhook/edge_requests.h"
 #include "rosemaryhook/edge_store.h"
+#include "rosemaryhook/edge_telling.h"
 #include "rosemaryhook/edge_tokens.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/peer_reads.h"
@@ -134,6 +135,7 @@
   while (daemon->callers->active > 0 && Now() < deadline) {
     co_await Sleep(kDrainPause);
   }
+  SendLeaving(edge.get());
   Log("stopped", {{"active", daemon->callers->active}});
   edge->is_stopping = true;
   edge->io.stop();
--- a/rosemaryhook/edge_orders.cc
+++ b/rosemaryhook/edge_orders.cc
@@ -93,7 +93,7 @@
   call.deadline = Now() + kOrderLimit;
   call.connect_limit = kOrderLimit;
   call.may_send = [&edge, runner] {
-    return MayOrder(edge.rights, runner, Now());
+    return MayOrder(edge.rights, runner, Now()) && !edge.is_leaving;
   };
   return call;
 }
@@ -215,7 +215,7 @@
       break;
     }
     const Time now = Now();
-    if (!MayOrder(edge->rights, runner, now) || edge->is_draining) {
+    if (!MayOrder(edge->rights, runner, now) || edge->is_leaving) {
       Publish(runner, owned.get(), edge.get());
       co_await owned->changed.Wait(now + kIdlePause);
       continue;
--- a/rosemaryhook/edge_peers.cc
+++ b/rosemaryhook/edge_peers.cc
@@ -83,7 +83,8 @@
       message.operators.empty() ? host.operators : message.operators;
   const Time told = message.news.empty() ? host.told : now;
   host = {message.session,    message.address,    message.zone, now,
-          message.is_leaving, message.is_reading, operators,    told};
+          message.is_leaving, message.is_reading, operators,    told,
+          message.is_draining};
 }
 
 // Other hosts' requests as this host counts them; an owner that is heard knows
--- a/rosemaryhook/edge_telling.cc
+++ b/rosemaryhook/edge_telling.cc
@@ -51,7 +51,8 @@
   message.zone = edge->settings.zone;
   message.number = ++edge->message_number;
   message.age = Now() - edge->started;
-  message.is_leaving = edge->is_draining;
+  message.is_draining = edge->is_draining;
+  message.is_leaving = edge->is_leaving;
   message.is_reading = Now() - edge->runner_contact.answered < kReadingSpan ||
                        (!edge->runner_contact.is_lost &&
                         Now() - edge->runner_contact.fresh < kReadingSpan);
@@ -407,6 +408,11 @@
   }
 }
 
+void SendLeaving(Edge* edge) {
+  edge->is_leaving = true;
+  SendToAll(NewMessage(edge), edge);
+}
+
 void SendWish(const LoadWish& wish, Edge* edge) {
   if (WantLoad(wish, std::string(), Now(), edge)) {
     return;
--- a/rosemaryhook/edge_telling.h
+++ b/rosemaryhook/edge_telling.h
@@ -20,6 +20,9 @@
               const std::map<std::string, int64_t>& heard,
               Edge* edge);
 
+// Tells all hosts that this one gives no more orders.
+void SendLeaving(Edge* edge);
+
 // Asks the owner of a runner to load an adapter there.
 void SendWish(const LoadWish& wish, Edge* edge);
 
--- a/rosemaryhook/list_sharing.cc
+++ b/rosemaryhook/list_sharing.cc
@@ -19,7 +19,7 @@
   const auto ahead =
       std::count_if(hosts.begin(), hosts.end(), [&](const auto& entry) {
         const HeardHost& host = entry.second;
-        return host.is_reading && !host.is_leaving &&
+        return host.is_reading && !host.is_leaving && !host.is_draining &&
                now - host.heard < kReaderSpan && host.address != address &&
                RendezvousWeight(kOrderKey, host.address) > own;
       });
--- a/rosemaryhook/order_rights.cc
+++ b/rosemaryhook/order_rights.cc
@@ -21,6 +21,10 @@
 // The next host in the order claims when the one before has not for this long.
 constexpr Duration kRankPause = std::chrono::milliseconds(2500);
 
+// A host that ended is back within this time if it was only restarted; it then
+// takes its own rows back without a wait for orders.
+constexpr Duration kRestartSpan = std::chrono::milliseconds(900);
+
 // Time for clocks that drift and timers that fire late.
 constexpr Duration kMargin = std::chrono::milliseconds(400);
 
@@ -46,7 +50,8 @@
   return static_cast<int>(
       std::count_if(hosts.begin(), hosts.end(), [&](const auto& entry) {
         const HeardHost& host = entry.second;
-        return !host.is_leaving && now - host.heard < kHeardSpan &&
+        return !host.is_leaving && !host.is_draining &&
+               now - host.heard < kHeardSpan &&
                key(host.zone, host.address) > own;
       }));
 }
@@ -66,14 +71,13 @@
     return true;
   }
   const auto host = hosts.find(row.session);
-  const Time heard = host == hosts.end() ? rights.started : host->second.heard;
-  if (now - heard < kOwnerSilence) {
-    return false;
+  if (host != hosts.end() && host->second.is_leaving) {
+    *reason = ClaimReason::kOwnerLeft;
+    return true;
   }
-  *reason = host != hosts.end() && host->second.is_leaving
-                ? ClaimReason::kOwnerLeft
-                : ClaimReason::kOwnerSilent;
-  return true;
+  const Time heard = host == hosts.end() ? rights.started : host->second.heard;
+  *reason = ClaimReason::kOwnerSilent;
+  return now - heard >= kOwnerSilence;
 }
 
 }  // namespace
@@ -100,10 +104,13 @@
     }
     const Time since =
         rights->unowned_since.try_emplace(runner.id, now).first->second;
+    const Duration pause =
+        reason == ClaimReason::kOwnerLeft ? kRestartSpan : Duration::zero();
     const bool is_own_turn =
         reason == ClaimReason::kRestarted ||
         (now - rights->started >= kJoinSpan &&
-         now - since >= kRankPause * RankOf(*rights, runner, hosts, now));
+         now - since >=
+             pause + kRankPause * RankOf(*rights, runner, hosts, now));
     if (is_own_turn) {
       claims.push_back({runner.id, row.version, reason});
     }
--- a/rosemaryhook/order_rights.h
+++ b/rosemaryhook/order_rights.h
@@ -47,6 +47,7 @@
   bool is_reading = false;     // said that the store answers it
   std::string operators = {};  // ip:port where it reads for others
   Time told = {};              // when it last passed on what it had read
+  bool is_draining = false;    // ends soon: takes on nothing new
 };
 
 struct OrderRights {
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -77,6 +77,7 @@
   message.number = json.at("n").get<int64_t>();
   message.age =
       Duration(std::chrono::milliseconds(json.at("g").get<int64_t>()));
+  message.is_draining = json.value("i", false);
   message.is_leaving = json.value("l", false);
   message.is_reading = json.value("b", false);
   message.operators = json.value("e", "");
@@ -108,6 +109,9 @@
       json[name] = std::move(value);
     }
   };
+  if (message.is_draining) {
+    json["i"] = true;
+  }
   if (message.is_leaving) {
     json["l"] = true;
   }
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -41,11 +41,12 @@
   std::string session;
   std::string address;  // ip:port for datagrams
   std::string zone;
-  int64_t number = 0;  // grows with each message of the session
-  Duration age{};      // of the session
-  bool is_leaving = false;
-  bool is_reading = false;                  // the store answers this host
-  std::string operators;                    // ip:port; not in every message
+  int64_t number = 0;        // grows with each message of the session
+  Duration age{};            // of the session
+  bool is_draining = false;  // ends soon
+  bool is_leaving = false;   // gives no more orders
+  bool is_reading = false;   // the store answers this host
+  std::string operators;     // ip:port; not in every message
   std::map<std::string, double> spent;      // customer -> tokens in all
   std::map<std::string, RunnerLoad> loads;  // runner -> sent by this host
   // Runner -> adapters that requests of this host run on or ended on lately.
--- a/rosemaryhook/peer_reads.cc
+++ b/rosemaryhook/peer_reads.cc
@@ -29,8 +29,8 @@
   uint64_t most = 0;
   for (const auto& [session, host] : hosts) {
     const auto failed = avoided.find(host.operators);
-    if (!host.is_reading || host.is_leaving || host.operators.empty() ||
-        now - host.heard >= kReaderSpan ||
+    if (!host.is_reading || host.is_draining || host.is_leaving ||
+        host.operators.empty() || now - host.heard >= kReaderSpan ||
         (has_failed && now - host.told >= kReaderSpan) ||
         (failed != avoided.end() && is_avoided(*failed))) {
       continue;
--- a/rosemaryhook/testing/direct_process_test.cc
+++ b/rosemaryhook/testing/direct_process_test.cc
@@ -212,6 +212,24 @@
   }
 }
 
+// Adapters go on being loaded at all runners while one of their owners drains.
+BOOST_AUTO_TEST_CASE(a_host_that_drains_goes_on_giving_orders) {
+  constexpr auto kLongest = std::chrono::milliseconds(1200);
+  Site site({.port = 25600, .hosts = 2});
+  BOOST_TEST(site.Ask(0, "a", "a1").status == 200);
+  BOOST_TEST(site.Ask(1, "b", "a1").status == 200);
+  auto ended = Async([&] { return site.Terminate(site.host(0)); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  for (int i = 0; i < 5; ++i) {
+    const auto asked = std::chrono::steady_clock::now();
+    const std::string name = "drained" + std::to_string(i);
+    BOOST_TEST(site.Ask(1, name, name).status == 200);
+    BOOST_TEST((std::chrono::steady_clock::now() - asked < kLongest), name);
+  }
+  BOOST_TEST(ended.get() == 0);
+  BOOST_TEST(site.LogOf(0).find("event=stopped") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -71,6 +71,7 @@
   direct/the_store_away_and_orders_unanswered
   direct/a_runner_that_restarts_empty_is_loaded_again
   direct/hosts_that_end_cut_nothing_and_are_replaced
+  direct/a_host_that_drains_goes_on_giving_orders
   refused_host/a_long_configuration_reaches_hosts_the_store_refuses)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
