Keep a gap in the news open until the change that it told of is known

What callers would see: a confirmed change up to a second later than need be, at single hosts.

Cause: any answer of the store closed a gap, also one that the store had given just before the change whose news had come faster than that answer.

Change: the newest version that news told of is kept, and the gap is open while less is known.

Why it works: the store's version only grows, so an answer from before the change never reaches the version that the news told of.

Test: edge_state/news_of_a_list_is_taken_in_order_or_read_anew now also asks that an answer between the two does not close the gap; before, there was nothing that could keep it open.

--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -40,10 +40,10 @@
   Time answered;  // the newest answer
   Time regained;  // when it answered again after entries may have lapsed
   bool is_lost = false;
-  int64_t version = 0;   // of the store, as far as the list is known here
-  Time fresh;            // when the list was last known to be up to date
-  Time fresh_before;     // the same, before what came last
-  bool has_gap = false;  // news was missed
+  int64_t version = 0;  // of the store, as far as the list is known here
+  Time fresh;           // when the list was last known to be up to date
+  Time fresh_before;    // the same, before what came last
+  int64_t told = 0;     // newest version that news told of
   ListSource source = ListSource::kWhole;
 };
 
--- a/rosemaryhook/edge_lists.cc
+++ b/rosemaryhook/edge_lists.cc
@@ -124,6 +124,10 @@
   return std::min(time, now);
 }
 
+bool HasGap(const StoreContact& contact) {
+  return contact.version > 0 && contact.version < contact.told;
+}
+
 void NoteStoreAnswer(const char* list, Time now, StoreContact* contact) {
   if (contact->is_lost) {
     Log("store_regained",
--- a/rosemaryhook/edge_lists.h
+++ b/rosemaryhook/edge_lists.h
@@ -34,6 +34,9 @@
                    Time now,
                    StoreContact* contact);
 
+// Whether news told of changes that are not known here.
+bool HasGap(const StoreContact& contact);
+
 // The store answered this host for `list`.
 void NoteStoreAnswer(const char* list, Time now, StoreContact* contact);
 
--- a/rosemaryhook/edge_store.cc
+++ b/rosemaryhook/edge_store.cc
@@ -111,7 +111,7 @@
 
 // Whether this host is to ask the store for a list now.
 bool IsToRead(const Edge& edge, const StoreContact& contact, Time now) {
-  return contact.version == 0 || contact.has_gap ||
+  return contact.version == 0 || HasGap(contact) ||
          now - contact.fresh > kNewsSilence ||
          IsReader(edge.settings.peers, edge.hosts, now);
 }
@@ -128,13 +128,13 @@
 
 // News was missed, or was too long to be sent along.
 void NoteGap(const ListNews& news, Time now, StoreContact* contact) {
-  if (!contact->has_gap && contact->version > 0) {
+  if (!HasGap(*contact) && contact->version > 0) {
     Log("news_gap", {{"list", news.list},
                      {"from", news.from},
                      {"known", contact->version},
                      {"list_age_ms", Millis(now - contact->fresh)}});
   }
-  contact->has_gap = contact->version > 0;
+  contact->told = std::max(contact->told, news.to);
 }
 
 // One look at a list; false if the store did not answer. Readers pass on what
@@ -144,7 +144,7 @@
   const Time asked = Now();
   const int64_t from = contact.version;
   const std::map<std::string, int64_t> heard = edge->peer_numbers;
-  const bool is_waiting = !contact.is_lost && !contact.has_gap;
+  const bool is_waiting = !contact.is_lost && !HasGap(contact);
   const Duration wait = is_waiting ? loop.wait : Duration::zero();
   auto outcome = co_await Look(edge->store, loop.table, from, wait);
   const auto* lost = std::get_if<Error>(&outcome);
@@ -169,7 +169,9 @@
   NoteListFresh(edge->settings.heartbeat,
                 TimeOfStore(*edge, rows.clock_ms, now), now, &contact);
   contact.version = std::max(contact.version, rows.version);
-  contact.has_gap = false;
+  if (from == 0) {
+    contact.told = contact.version;
+  }
   contact.source = !is_direct  ? ListSource::kPeer
                    : from == 0 ? ListSource::kWhole
                                : ListSource::kChanges;
@@ -200,8 +202,10 @@
   if (contact.version == 0) {
     return Duration::zero();
   }
-  return contact.is_lost ? std::max(loop.interval, kListInterval)
-                         : loop.interval;
+  if (contact.is_lost) {
+    return std::max(loop.interval, kListInterval);
+  }
+  return HasGap(contact) ? std::max(loop.interval, kFirstPause) : loop.interval;
 }
 
 awaitable<void> Follow(EdgePtr edge, TableLoop loop) {
--- a/rosemaryhook/testing/edge_state_test.cc
+++ b/rosemaryhook/testing/edge_state_test.cc
@@ -278,10 +278,16 @@
   BOOST_TEST(!edge.runners.at("i-1").entry.is_leaving);
   BOOST_TEST(!edge.runners.contains("i-9"));
   BOOST_TEST((contact.fresh == At(1.7)));
-  BOOST_TEST(!contact.has_gap);
+  BOOST_TEST(!HasGap(contact));
   // Something was missed: nothing of it is used.
   ApplyNews(News(12, 14, {Versioned(Entry("i-2"), 13)}), At(2), &edge);
-  BOOST_TEST(contact.has_gap);
+  BOOST_TEST(HasGap(contact));
+  // An answer that the store gave before that change does not fill the gap.
+  StoreContact later = contact;
+  later.version = 11;
+  BOOST_TEST(HasGap(later));
+  later.version = 14;
+  BOOST_TEST(!HasGap(later));
   BOOST_TEST(!edge.runners.contains("i-2"));
   BOOST_TEST(contact.version == 9);
 }
