Take the store's clock from the last three answers, not from the largest ever

News is dated by the store's clock, which a host knew as the largest difference to its own that it had ever seen. A host that had stood still from 24 to 31.4 s took one sample that was too large by that pause, and kept it: its lists seemed 7.2 s old (median of list_age_ms on its lines), and the record of what customers had spent, which it wrote with the same clock, seemed to be of the very moment when all hosts read it at their start (age_ms=0 in place of some 700).

Ruled out: a change of the limits themselves (none), of the record (none).

Change: the record uses the newest sample again, as before. Lists use the largest of the last three.

Why it works: after three answers a wrong sample is gone, and a host whose lists seem old asks for them at once. A busy host still does not take its own delay for freshness, unless it delays three answers in a row.

--- a/rosemaryhook/edge.h
+++ b/rosemaryhook/edge.h
@@ -7,6 +7,7 @@
 #define ROSEMARYHOOK_EDGE_H_
 
 #include <boost/asio.hpp>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -80,6 +81,7 @@
   Metrics metrics;
   std::shared_ptr<HttpServer> callers;
   int64_t store_clock_ahead_ms = 0;  // the store's clock less this host's
+  std::deque<int64_t> store_clock_samples;  // newest last, of the same
   bool is_draining = false;  // ends soon; gives orders until `is_leaving`
   bool is_leaving = false;
   bool is_stopping = false;
--- a/rosemaryhook/edge_lists.cc
+++ b/rosemaryhook/edge_lists.cc
@@ -19,9 +19,9 @@
 // its answers that is shorter than this many check-ins can have let none lapse.
 constexpr double kLapseCheckIns = 2.5;
 
-// The store's clock differs by less than this from what it was taken for,
-// unless it began anew: answers that are older are not waited for.
-constexpr int64_t kClockRestartMs = 10'000;
+// Samples of the store's clock that count. Few, as one that is taken just as
+// the process goes on after a pause may be too large by the pause.
+constexpr size_t kClockSamples = 3;
 
 // Backend servers that left are remembered this long, for answers under way.
 constexpr Duration kForgetAfter = std::chrono::seconds(30);
@@ -106,22 +106,21 @@
 }  // namespace
 
 void NoteStoreClock(int64_t clock_ms, Time now, Edge* edge) {
-  // The answer was under way for a while, so each sample is too small. One that
-  // is much smaller comes from a store whose clock began anew.
-  const int64_t sample = clock_ms - Millis(now.time_since_epoch());
-  const bool is_new = edge->store_clock_ahead_ms == 0 ||
-                      sample < edge->store_clock_ahead_ms - kClockRestartMs;
-  edge->store_clock_ahead_ms =
-      is_new ? sample : std::max(edge->store_clock_ahead_ms, sample);
+  edge->store_clock_ahead_ms = clock_ms - Millis(now.time_since_epoch());
+  edge->store_clock_samples.push_back(edge->store_clock_ahead_ms);
+  if (edge->store_clock_samples.size() > kClockSamples) {
+    edge->store_clock_samples.pop_front();
+  }
 }
 
 Time TimeOfStore(const Edge& edge, int64_t clock_ms, Time now) {
-  if (edge.store_clock_ahead_ms == 0 || clock_ms == 0) {
+  const auto& samples = edge.store_clock_samples;
+  if (samples.empty() || clock_ms == 0) {
     return now;
   }
-  const Time time(
-      std::chrono::milliseconds(clock_ms - edge.store_clock_ahead_ms));
-  return std::min(time, now);
+  // An answer is under way for a while, so most samples are too small.
+  const int64_t ahead_ms = *std::max_element(samples.begin(), samples.end());
+  return std::min(Time(std::chrono::milliseconds(clock_ms - ahead_ms)), now);
 }
 
 bool HasGap(const StoreContact& contact) {
