--- a/review/deployment.cc
+++ b/review/deployment.cc
@@ -9,6 +9,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -27,11 +29,10 @@
 constexpr char kTemplate[] = "deploy/settings.yaml";
 constexpr int kReadySeconds = 30;
 
-// Below the ports that the system gives to outgoing connections. Cases that run
-// at the same time use different regions. The stand-in of the platform uses the
-// ports after its own.
-constexpr int kFirstPort = 12'000;
-constexpr int kRegions = 100;
+// Below the ports of the project's tests. Cases that run at the same time use
+// different regions. The stand-in of the platform uses the ports after its own.
+constexpr int kFirstPort = 10'000;
+constexpr int kRegions = 80;
 constexpr int kRegionPorts = 160;
 constexpr int kPortStep = 4;
 
@@ -75,6 +76,31 @@
           {"resumable", name == "note"}};
 }
 
+// Processes to end if this one is stopped from outside.
+constexpr size_t kMaxProcesses = 64;
+std::array<std::atomic<pid_t>, kMaxProcesses> started;
+std::atomic<size_t> started_count = 0;
+
+void EndProcesses(int /*signal*/) {
+  for (size_t i = 0; i < started_count && i < kMaxProcesses; ++i) {
+    if (const pid_t pid = started[i]; pid > 0) {
+      kill(pid, SIGKILL);
+    }
+  }
+  _exit(kNotRun);
+}
+
+void AddStarted(pid_t pid) {
+  started[started_count++ % kMaxProcesses] = pid;
+}
+
+void RemoveStarted(pid_t pid) {
+  for (auto& other : started) {
+    pid_t expected = pid;
+    other.compare_exchange_strong(expected, 0);
+  }
+}
+
 }  // namespace
 
 int64_t NowMillis() {
@@ -146,6 +172,8 @@
       record_(folder + "/record.txt"),
       started_ms_(NowMillis()) {
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGTERM, EndProcesses);
+  signal(SIGINT, EndProcesses);
   std::string name =
       (std::filesystem::temp_directory_path() / "rosemaryhook-review-XXXXXX")
           .string();
@@ -171,6 +199,7 @@
   site_ = {"site", std::move(arguments), 0};
   const std::string log = temporary_folder_ + "/site.log";
   site_.pid = testing::Spawn(site_.command, log, log);
+  AddStarted(site_.pid);
   Await(kReadySeconds,
         [&] { return Exchange(store_, "GET", "/ledger").status == 200; });
 }
@@ -248,6 +277,7 @@
   setenv("ROSEMARYHOOK_CONFIG", settings.c_str(), 1);
   const std::string log = temporary_folder_ + "/" + host->name + ".log";
   host->process.pid = testing::Spawn(host->process.command, log, log);
+  AddStarted(host->process.pid);
   Record(fmt::format("start host={} pid={}", host->name, host->process.pid));
 }
 
@@ -259,6 +289,7 @@
 void Deployment::Kill(HostProcess* host) {
   if (host->process.pid > 0) {
     Signal(*host, SIGKILL);
+    RemoveStarted(host->process.pid);
     testing::WaitFor(host->process.pid);
     host->process.pid = 0;
   }
@@ -268,6 +299,7 @@
   int status = 0;
   if (host->process.pid > 0 &&
       waitpid(host->process.pid, &status, WNOHANG) == host->process.pid) {
+    RemoveStarted(host->process.pid);
     host->process.pid = 0;
     Record(fmt::format("ended host={} status={}", host->name, status));
   }
