Show that hosts lose servers whose entries return after an outage (CONFIG)

Cause: a poller leaves out of its update a row whose runner it still lists and whose entry has not changed. An entry that expired in an outage stays listed for a grace period, so its return is left out, and the other hosts move their version past the row without having read it.

--- a/review/crashing_runners.cc
+++ b/review/crashing_runners.cc
@@ -12,6 +12,7 @@
 constexpr int kHosts = 2;
 constexpr int kRunners = 4;
 constexpr int64_t kWorkMs = 20;
+constexpr int64_t kRegistrationSpreadMs = 200;
 constexpr int64_t kRequestIntervalMs = 1000;
 constexpr int64_t kSoundIntervalMs = 100;
 constexpr int64_t kObservedMs = 25'000;
@@ -51,7 +52,7 @@
     : deployment_(deployment), io_(1) {
   for (int i = 0; i < count; ++i) {
     auto runner = std::make_unique<CrashingRunner>();
-    runner->id = fmt::format("i-{}", i);
+    runner->id = fmt::format("i-{}-{}", service, i);
     runner->service = service;
     runner->address = FreeAddress("127.0.0.1");
     runner->zone = fmt::format("zone-{}", i % 2);
@@ -95,6 +96,21 @@
                     {"born", runner.born}});
 }
 
+void CrashingRunners::RegisterAll() {
+  for (const auto& runner : runners_) {
+    Register(*runner);
+    deployment_->Record(fmt::format("registered runner={}", runner->id));
+    SleepMillis(kRegistrationSpreadMs);
+  }
+}
+
+void CrashingRunners::UnregisterAll() {
+  for (const auto& runner : runners_) {
+    deployment_->Unset("servers", runner->id);
+    deployment_->Record(fmt::format("expired runner={}", runner->id));
+  }
+}
+
 awaitable<void> CrashingRunners::Crash(CrashingRunner* runner) {
   ++runner->born;
   beast::error_code ignored;
--- a/review/crashing_runners.h
+++ b/review/crashing_runners.h
@@ -48,6 +48,10 @@
                   int count);
   ~CrashingRunners();
 
+  // Adds or removes the entries of all runners in the store.
+  void RegisterAll();
+  void UnregisterAll();
+
   // Times at which the request began to run and crashed its runner.
   std::vector<int64_t> Crashes();
   // Sound requests that a crash broke off.
--- a/review/deployment.cc
+++ b/review/deployment.cc
@@ -60,22 +60,6 @@
   return address.substr(address.rfind(':') + 1);
 }
 
-Json RouteJson(const std::string& name,
-               const std::string& service,
-               const std::string& kind,
-               int max_attempts) {
-  return {{"name", name},
-          {"host", "a.example"},
-          {"prefix", "/" + name + "/"},
-          {"kind", kind},
-          {"timeout_ms", 8000},
-          {"target_latency_ms", 800},
-          {"priority", 1},
-          {"service", service},
-          {"max_attempts", max_attempts},
-          {"resumable", name == "note"}};
-}
-
 // Processes to end if this one is stopped from outside.
 constexpr size_t kMaxProcesses = 64;
 std::array<std::atomic<pid_t>, kMaxProcesses> started;
@@ -134,6 +118,22 @@
   }
 }
 
+Json MakeRoute(const std::string& name,
+               const std::string& service,
+               const std::string& kind,
+               int max_attempts) {
+  return {{"name", name},
+          {"host", "a.example"},
+          {"prefix", "/" + name + "/"},
+          {"kind", kind},
+          {"timeout_ms", 8000},
+          {"target_latency_ms", 800},
+          {"priority", 1},
+          {"service", service},
+          {"max_attempts", max_attempts},
+          {"resumable", name == "note"}};
+}
+
 Json MakeConfiguration(int version) {
   const Json engine{{"slots", 8},
                     {"weight_size", 1200.0},
@@ -144,10 +144,10 @@
                                              {"adapter_mb", 40.0}}})}};
   return {{"version", version},
           {"routes",
-           Json::array({RouteJson("chat", "chat", "streaming", 1),
-                        RouteJson("note", "chat", "streaming", 2),
-                        RouteJson("look", "booking", "idempotent", 2),
-                        RouteJson("book", "booking", "non_idempotent", 2)})},
+           Json::array({MakeRoute("chat", "chat", "streaming", 1),
+                        MakeRoute("note", "chat", "streaming", 2),
+                        MakeRoute("look", "booking", "idempotent", 2),
+                        MakeRoute("book", "booking", "non_idempotent", 2)})},
           {"services",
            Json::array({{{"name", "chat"},
                          {"max_connections", 600},
@@ -211,6 +211,11 @@
   Exchange(store_, "POST", "/set", {}, body.dump());
 }
 
+void Deployment::Unset(const std::string& table, const std::string& key) {
+  const Json body{{"table", table}, {"key", key}};
+  Exchange(store_, "POST", "/unset", {}, body.dump());
+}
+
 void Deployment::Fault(const Json& fault) {
   Exchange(store_, "POST", "/fault", {}, fault.dump());
 }
--- a/review/deployment.h
+++ b/review/deployment.h
@@ -62,6 +62,7 @@
 
   // Operator's and backend servers' writes to the store.
   void Set(const std::string& table, const std::string& key, const Json& value);
+  void Unset(const std::string& table, const std::string& key);
   void Configure(const Json& configuration) {
     Set("op", "config", configuration);
   }
@@ -123,6 +124,12 @@
 // (non-idempotent) by service "booking".
 Json MakeConfiguration(int version);
 
+// A route to `service`; resumable if its name is "note".
+Json MakeRoute(const std::string& name,
+               const std::string& service,
+               const std::string& kind,
+               int max_attempts);
+
 // Prints the outcome and returns the exit code.
 int Finish(Deployment* deployment, int code, const std::string& text);
 
