Keep the wait after a takeover through restarts and chains of claims

What callers saw: nothing at once.

Cause: how long a claimant waits before its first order followed only from the owner that it replaced. A restarted host takes its earlier process's row at once, but that process may itself have been waiting for the owner before it. The same happens without a restart: a host that claims from a silent owner and leaves within its wait hands the row to one that waits for the lease only.

Evidence: the log of the restarted host shows event=claim reason=restarted and the first order right after it.

Ruled out: rows removed by hosts (none are), addresses shared by processes (a second one cannot bind), an older answer after a newer row (versions; a full read without the row now counts only from its own version on).

Change: the row says the wait that its owner has to keep, counted from the write of the row. A claim waits at least for what is left of it since the host first saw the row, and writes its own wait. An owner whose wait has passed writes its row again without one. The fencing number stays that of the claim. An unreadable row counts as one with the longest wait; before, a row whose fields had another type ended the loop that reads the owners. A part of an answer no longer counts as contact.

--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -189,7 +189,7 @@
                                               : platform::OrderKind::kLoad;
   order.adapter = step.adapter;
   order.order_count = owned->plan.order_count;
-  order.fence = daemon->ownership.rows[runner].version;
+  order.fence = FenceOf(daemon->ownership, runner);
   order.holder = daemon->settings.host;
   call.body = platform::EncodeOrder(order);
   auto fetched = co_await Fetch(&daemon->pool, std::move(call));
--- a/rosemaryhook/direct_owners.cc
+++ b/rosemaryhook/direct_owners.cc
@@ -1,9 +1,13 @@
 // A claim is one conditional write for all runners that this host is to claim.
 // If a condition fails, the store returns the current rows. If the write is not
 // answered, it may have been applied, and the next read of the rows shows that.
+// Waits that have passed are removed from the rows with a write of their own,
+// so that no claim fails because of them.
 #include "rosemaryhook/direct_owners.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 
 #include "rosemaryhook/log.h"
 
@@ -16,12 +20,26 @@
 // Rows claimed in one call; the store accepts at most 100 in a transaction.
 constexpr size_t kMaxClaims = 40;
 
-OwnerRow ParseOwnerRow(const StoreRow& row) {
-  const Json json = Json::parse(row.value, nullptr, false);
-  if (row.is_removed || !json.is_object()) {
-    return {};
+void ApplyOwnerRow(const StoreRow& row, Time now, DirectDaemon* daemon) {
+  if (row.version == 0) {
+    return;
   }
-  return {json.value("session", ""), json.value("address", ""), row.version};
+  if (row.is_removed) {
+    RecordOwnerRowRemoved(row.key, row.version, now, &daemon->ownership);
+    return;
+  }
+  const auto parsed = ParseOwnerRow(row.value);
+  OwnerRow owner;
+  if (const Error* error = Failure(parsed)) {
+    Log("owner_row_unreadable", {{"runner", row.key},
+                                 {"row_version", row.version},
+                                 {"why", error->message}});
+    owner.wait = kUnknownWait;
+  } else {
+    owner = std::get<OwnerRow>(parsed);
+  }
+  owner.version = row.version;
+  RecordOwnerRow(row.key, owner, now, &daemon->ownership);
 }
 
 std::vector<OwnableRunner> OwnableRunners(const DirectDaemon& daemon) {
@@ -40,6 +58,38 @@
   return runners;
 }
 
+// Writes rows of this host on condition that they have the expected versions.
+// Returns the version of the write if the store acknowledged it.
+awaitable<std::optional<int64_t>> WriteOwnRows(
+    std::shared_ptr<DirectDaemon> daemon,
+    const std::vector<OwnerClaim>& claims,
+    std::string what) {
+  std::vector<ConditionalPut> puts;
+  puts.reserve(claims.size());
+  for (const OwnerClaim& claim : claims) {
+    OwnerRow row;
+    row.session = daemon->session;
+    row.address = daemon->settings.peers;
+    row.wait = claim.wait;
+    puts.push_back({claim.runner, EncodeOwnerRow(row), claim.expected, false});
+  }
+  auto written = co_await WriteRows(daemon->store, kOwnerTable, puts,
+                                    Now() + kClaimTimeout);
+  if (const auto* error = std::get_if<Error>(&written)) {
+    Log(what + "_unknown",
+        {{"runners", claims.size()}, {"why", error->message}});
+    co_return std::nullopt;
+  }
+  if (const auto* failed = std::get_if<ConditionFailed>(&written)) {
+    for (const StoreRow& row : failed->rows) {
+      ApplyOwnerRow(row, Now(), daemon.get());
+    }
+    Log(what + "_lost", {{"runners", claims.size()}});
+    co_return std::nullopt;
+  }
+  co_return std::get<Written>(written).version;
+}
+
 }  // namespace
 
 const char kOwnerTable[] = "owners";
@@ -48,21 +98,25 @@
                     bool is_full,
                     Time request_time,
                     DirectDaemon* daemon) {
+  const Time now = Now();
   if (is_full) {
-    std::erase_if(daemon->ownership.rows, [&](const auto& known) {
-      return std::none_of(
-          rows.rows.begin(), rows.rows.end(),
-          [&](const StoreRow& row) { return row.key == known.first; });
-    });
+    std::set<std::string> listed;
+    for (const StoreRow& row : rows.rows) {
+      listed.insert(row.key);
+    }
+    for (const auto& [runner, row] : daemon->ownership.rows) {
+      if (!listed.contains(runner)) {
+        RecordOwnerRowRemoved(runner, rows.version, now, &daemon->ownership);
+      }
+    }
   }
   for (const StoreRow& row : rows.rows) {
-    if (row.is_removed) {
-      daemon->ownership.rows.erase(row.key);
-      continue;
-    }
-    RecordOwnerRow(row.key, ParseOwnerRow(row), &daemon->ownership);
+    ApplyOwnerRow(row, now, daemon);
+  }
+  // A part of the changes does not show whether this host still owns a row.
+  if (!rows.has_more) {
+    RecordContact(request_time, &daemon->ownership);
   }
-  RecordContact(request_time, &daemon->ownership);
 }
 
 awaitable<void> ClaimRunners(std::shared_ptr<DirectDaemon> daemon) {
@@ -72,45 +126,47 @@
     co_return;
   }
   claims.resize(std::min(claims.size(), kMaxClaims));
-  const Json value{{"session", daemon->session},
-                   {"address", daemon->settings.peers}};
-  std::vector<ConditionalPut> puts;
-  puts.reserve(claims.size());
+  const auto version = co_await WriteOwnRows(daemon, claims, "claim");
+  if (!version) {
+    co_return;
+  }
   for (const OwnerClaim& claim : claims) {
-    puts.push_back({claim.runner, value.dump(), claim.expected, false});
+    RecordClaimed(claim, *version, Now(), &daemon->ownership);
+    const std::string_view reason = ClaimReasonName(claim.reason);
+    Log("claim", {{"runner", claim.runner},
+                  {"fence", *version},
+                  {"reason", reason},
+                  {"wait_ms", Millis(claim.wait)}});
+    daemon->metrics.Count("owner_claims_total",
+                          "reason=\"" + std::string(reason) + "\"");
   }
-  auto written = co_await WriteRows(daemon->store, kOwnerTable, puts,
-                                    Now() + kClaimTimeout);
-  if (const auto* error = std::get_if<Error>(&written)) {
-    Log("claim_unknown", {{"runners", claims.size()}, {"why", error->message}});
+}
+
+awaitable<void> RemoveWaits(std::shared_ptr<DirectDaemon> daemon) {
+  auto removals = PlanWaitRemovals(Now(), daemon->ownership);
+  if (removals.empty() || daemon->is_leaving) {
     co_return;
   }
-  if (const auto* failed = std::get_if<ConditionFailed>(&written)) {
-    for (const StoreRow& row : failed->rows) {
-      RecordOwnerRow(row.key, ParseOwnerRow(row), &daemon->ownership);
-    }
-    Log("claim_lost", {{"runners", claims.size()}});
+  removals.resize(std::min(removals.size(), kMaxClaims));
+  const auto version = co_await WriteOwnRows(daemon, removals, "wait_removal");
+  if (!version) {
     co_return;
   }
-  const int64_t version = std::get<Written>(written).version;
-  for (const OwnerClaim& claim : claims) {
-    RecordClaimed(claim, version, Now(), &daemon->ownership);
-    Log("claim", {{"runner", claim.runner},
-                  {"fence", version},
-                  {"reason", ClaimReasonName(claim.reason)}});
+  for (const OwnerClaim& removal : removals) {
+    RecordWaitRemoved(removal.runner, *version, &daemon->ownership);
+    Log("wait_removed",
+        {{"runner", removal.runner}, {"row_version", *version}});
   }
 }
 
 void AdoptUnacknowledged(Time now, DirectDaemon* daemon) {
-  for (const auto& [runner, row] : daemon->ownership.rows) {
-    if (row.session == daemon->session &&
-        !daemon->ownership.orders_allowed_from.contains(runner)) {
-      RecordClaimed({runner, 0, ClaimReason::kOwnerSilent}, row.version, now,
-                    &daemon->ownership);
-      Log("claim", {{"runner", runner},
-                    {"fence", row.version},
-                    {"reason", "found_acknowledged"}});
-    }
+  for (const std::string& runner :
+       AdoptUnacknowledgedClaims(&daemon->ownership)) {
+    const Time from = daemon->ownership.order_rights[runner].from;
+    Log("claim", {{"runner", runner},
+                  {"fence", FenceOf(daemon->ownership, runner)},
+                  {"reason", "found_unacknowledged"},
+                  {"wait_ms", Millis(std::max(from - now, Duration::zero()))}});
   }
 }
 
--- a/rosemaryhook/direct_owners.h
+++ b/rosemaryhook/direct_owners.h
@@ -22,8 +22,11 @@
 // this host.
 awaitable<void> ClaimRunners(std::shared_ptr<DirectDaemon> daemon);
 
+// Writes the own rows whose wait has passed again without it.
+awaitable<void> RemoveWaits(std::shared_ptr<DirectDaemon> daemon);
+
 // Adopts rows of this session whose claim was not acknowledged because the
-// answer was lost. Orders wait as long as after a takeover from a silent owner.
+// answer was lost. Their waits hold as if it had been.
 void AdoptUnacknowledged(Time now, DirectDaemon* daemon);
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -284,6 +284,7 @@
     if (daemon->owner_contact.version > 0) {
       AdoptUnacknowledged(Now(), daemon.get());
       co_await ClaimRunners(daemon);
+      co_await RemoveWaits(daemon);
       StartOwnedRunners(daemon);
     }
     const bool is_newly_started = Now() - daemon->started < kStartupWindow;
--- a/rosemaryhook/runner_ownership.cc
+++ b/rosemaryhook/runner_ownership.cc
@@ -6,9 +6,17 @@
 // lease and a margin. If the old owner's process is known to have ended (the
 // claimant has its address) or has announced that it gives no more orders, its
 // contact need not be waited for.
+//
+// The owners before the old one: by induction the replaced row's wait, counted
+// from its write, covers them. The claimant first saw that row at s, after its
+// write, so at the time p of the plan they are covered once the row's wait less
+// (p - s) has passed; the claim is written after p and carries that rest. The
+// address proves that the earlier process has ended, since two processes cannot
+// bind it at a time, but not that this process was allowed to order.
 #include "rosemaryhook/runner_ownership.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "rosemaryhook/enum_names.h"
 #include "rosemaryhook/placement.h"
@@ -33,13 +41,42 @@
 // Hosts whose messages have not arrived for this long are not ranked.
 constexpr Duration kRankingPeerTimeout = std::chrono::milliseconds(2500);
 
-constexpr NameTable<ClaimReason, 4> kReasonNames{{
+constexpr NameTable<ClaimReason, 5> kReasonNames{{
     {ClaimReason::kUnowned, "unowned"},
     {ClaimReason::kRestarted, "restarted"},
     {ClaimReason::kOwnerLeft, "owner_left"},
     {ClaimReason::kOwnerSilent, "owner_silent"},
+    {ClaimReason::kRowRemoved, "row_removed"},
 }};
 
+// No claim needs a longer wait: the contact timeout, the longest lease that the
+// settings allow, and the margin.
+constexpr Duration kMaxWait =
+    kOrderContactTimeout + std::chrono::seconds(60) + kClockMargin;
+
+// How long the orders of a row's owner may still arrive after a claim for
+// `reason`, and then the lease.
+Duration WaitForOwner(ClaimReason reason, Duration lease) {
+  switch (reason) {
+    case ClaimReason::kUnowned:
+    case ClaimReason::kRestarted:
+      return Duration::zero();
+    case ClaimReason::kOwnerLeft:
+      return lease + kClockMargin;
+    case ClaimReason::kOwnerSilent:
+    case ClaimReason::kRowRemoved:
+      return kOrderContactTimeout + lease + kClockMargin;
+  }
+  return Duration::zero();
+}
+
+// When a lease has passed since the last order of each owner before the row's.
+Time WaitEnd(const OwnerRow& row, Duration lease) {
+  return row.first_seen + (row.wait == kUnknownWait
+                               ? WaitForOwner(ClaimReason::kOwnerSilent, lease)
+                               : row.wait);
+}
+
 // Rank of this host among the hosts that may claim `runner`; 0 claims first.
 // Hosts of the runner's zone rank first, each group in the order of rendezvous
 // hashing.
@@ -71,6 +108,10 @@
     *reason = ClaimReason::kUnowned;
     return true;
   }
+  if (row.is_removed) {
+    *reason = ClaimReason::kRowRemoved;
+    return true;
+  }
   if (row.address == ownership.address) {
     *reason = ClaimReason::kRestarted;
     return true;
@@ -92,6 +133,32 @@
   return NameOf(kReasonNames, reason);
 }
 
+std::string EncodeOwnerRow(const OwnerRow& row) {
+  const nlohmann::json json{{"session", row.session},
+                            {"address", row.address},
+                            {"wait_ms", Millis(row.wait)}};
+  return json.dump();
+}
+
+Result<OwnerRow> ParseOwnerRow(std::string_view text) {
+  try {
+    const nlohmann::json json = nlohmann::json::parse(text);
+    OwnerRow row;
+    row.session = json.at("session").get<std::string>();
+    row.address = json.at("address").get<std::string>();
+    const auto wait = json.find("wait_ms");
+    const int64_t wait_ms = wait != json.end() && wait->is_number_integer()
+                                ? wait->get<int64_t>()
+                                : -1;
+    row.wait = wait_ms >= 0 && wait_ms <= Millis(kMaxWait)
+                   ? std::chrono::milliseconds(wait_ms)
+                   : kUnknownWait;
+    return row;
+  } catch (const nlohmann::json::exception& e) {
+    return Error{Step::kParse, "owners", e.what()};
+  }
+}
+
 std::vector<OwnerClaim> PlanOwnerClaims(
     const std::vector<OwnableRunner>& runners,
     const std::map<std::string, PeerHost>& hosts,
@@ -119,7 +186,10 @@
          now - since >= pause + kClaimRankDelay *
                                     ClaimRank(*ownership, runner, hosts, now));
     if (may_claim) {
-      claims.push_back({runner.id, row.version, reason});
+      const Duration wait = std::max(WaitForOwner(reason, ownership->lease),
+                                     WaitEnd(row, ownership->lease) - now);
+      claims.push_back(
+          {runner.id, row.is_removed ? 0 : row.version, reason, wait});
     }
   }
   return claims;
@@ -130,28 +200,74 @@
                    Time now,
                    RunnerOwnership* ownership) {
   ownership->rows[claim.runner] = {ownership->session, ownership->address,
-                                   version};
+                                   version, claim.wait, now};
   ownership->unowned_since.erase(claim.runner);
-  Time from = now;
-  if (claim.reason == ClaimReason::kOwnerLeft) {
-    from = now + ownership->lease + kClockMargin;
-  } else if (claim.reason == ClaimReason::kOwnerSilent) {
-    from = now + kOrderContactTimeout + ownership->lease + kClockMargin;
+  ownership->order_rights[claim.runner] = {now + claim.wait, version};
+}
+
+std::vector<OwnerClaim> PlanWaitRemovals(Time now,
+                                         const RunnerOwnership& ownership) {
+  std::vector<OwnerClaim> removals;
+  for (const auto& [runner, right] : ownership.order_rights) {
+    const OwnerRow& row = ownership.rows.at(runner);
+    if (row.wait > Duration::zero() && now >= right.from) {
+      removals.push_back({runner, row.version, ClaimReason::kRestarted, {}});
+    }
+  }
+  return removals;
+}
+
+void RecordWaitRemoved(const std::string& runner,
+                       int64_t version,
+                       RunnerOwnership* ownership) {
+  OwnerRow& row = ownership->rows[runner];
+  if (IsOwn(*ownership, runner) && version > row.version) {
+    row.version = version;
+    row.wait = Duration::zero();
   }
-  ownership->orders_allowed_from[claim.runner] = from;
 }
 
 void RecordOwnerRow(const std::string& runner,
                     const OwnerRow& row,
+                    Time now,
                     RunnerOwnership* ownership) {
   OwnerRow& known = ownership->rows[runner];
   if (row.version < known.version) {
     return;
   }
+  const bool is_known = row.version == known.version && !known.is_removed;
+  const Time first_seen = is_known ? known.first_seen : now;
   known = row;
+  known.first_seen = first_seen;
   if (row.session != ownership->session) {
-    ownership->orders_allowed_from.erase(runner);
+    ownership->order_rights.erase(runner);
+  }
+}
+
+void RecordOwnerRowRemoved(const std::string& runner,
+                           int64_t version,
+                           Time now,
+                           RunnerOwnership* ownership) {
+  const auto known = ownership->rows.find(runner);
+  if (known == ownership->rows.end() || known->second.is_removed ||
+      version < known->second.version) {
+    return;
   }
+  known->second = {"", "", version, Duration::zero(), now, true};
+  ownership->order_rights.erase(runner);
+}
+
+std::vector<std::string> AdoptUnacknowledgedClaims(RunnerOwnership* ownership) {
+  std::vector<std::string> runners;
+  for (const auto& [runner, row] : ownership->rows) {
+    if (IsOwn(*ownership, runner) &&
+        !ownership->order_rights.contains(runner)) {
+      ownership->order_rights[runner] = {WaitEnd(row, ownership->lease),
+                                         row.version};
+      runners.push_back(runner);
+    }
+  }
+  return runners;
 }
 
 void RecordContact(Time sent, RunnerOwnership* ownership) {
@@ -164,12 +280,17 @@
          row->second.session == ownership.session;
 }
 
+int64_t FenceOf(const RunnerOwnership& ownership, const std::string& runner) {
+  const auto right = ownership.order_rights.find(runner);
+  return right == ownership.order_rights.end() ? 0 : right->second.fence;
+}
+
 bool MayOrder(const RunnerOwnership& ownership,
               const std::string& runner,
               Time now) {
-  const auto from = ownership.orders_allowed_from.find(runner);
-  return IsOwn(ownership, runner) &&
-         from != ownership.orders_allowed_from.end() && now >= from->second &&
+  const auto right = ownership.order_rights.find(runner);
+  return IsOwn(ownership, runner) && right != ownership.order_rights.end() &&
+         now >= right->second.from &&
          now < ownership.contact + kOrderContactTimeout;
 }
 
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -6,12 +6,23 @@
 //   if (MayOrder(ownership, runner, now)) ... one order ...
 //
 // The owner of a runner is recorded in a row of the store, which is written
-// with a compare-and-set on the row's version. The version is the fencing
-// number of the owner's orders. Invariant: orders of two hosts to one runner
-// are at least the lease apart. An owner gives orders only within
-// kOrderContactTimeout of sending a request whose answer showed its row. A host
-// that takes a row over waits until that time of the old owner and then the
-// lease have passed.
+// with a compare-and-set on the row's version. The version of the claim is the
+// fencing number of the owner's orders.
+//
+// Invariants:
+//  - Orders of two hosts to one runner are at least the lease apart.
+//  - A row that was written at the store's time t with the wait w: once t + w
+//    has passed, a lease has passed since the last order of each earlier owner
+//    at another address. A row without a wait says so from its write on.
+//  - An owner gives orders only after its row's wait, and only within
+//    kOrderContactTimeout of sending a request whose answer showed its row.
+//  - Rows are not removed. A missing row means that the runner never had an
+//    owner, unless this process has seen it go.
+//
+// A claimant does not know when the row that it replaces was written, only when
+// it first saw that row, which was later. The rest of that row's wait is part
+// of the claim's own wait, so that it survives any number of claims and
+// restarts. An owner whose wait has passed writes its row again without one.
 //
 // Times are of the boot clock, so pauses of the process count.
 #ifndef ROSEMARYHOOK_RUNNER_OWNERSHIP_H_
@@ -20,8 +31,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "rosemaryhook/error.h"
 #include "rosemaryhook/time.h"
 
 namespace rosemaryhook {
@@ -35,12 +48,23 @@
 // An owner whose messages have not arrived for this long may be replaced.
 constexpr Duration kOwnerTimeout = std::chrono::seconds(4);
 
+// The wait of a row that does not say it: the longest that a claim may need.
+constexpr Duration kUnknownWait = Duration::max();
+
 struct OwnerRow {
   std::string session;
-  std::string address;  // of the owning host
-  int64_t version = 0;  // of the row; 0 if there is none
+  std::string address;   // of the owning host
+  int64_t version = 0;   // of the row; 0 if there has never been one
+  Duration wait{};       // counted from the write of the row
+  Time first_seen = {};  // when this host first saw this version
+  bool is_removed = false;
 };
 
+// The row's value in the store. A value without a wait, or with one that no
+// claim can have, gets kUnknownWait.
+std::string EncodeOwnerRow(const OwnerRow& row);
+Result<OwnerRow> ParseOwnerRow(std::string_view text);
+
 // What is known of another host from its messages.
 struct PeerHost {
   std::string session;
@@ -54,14 +78,20 @@
   bool is_draining = false;         // is about to stop; accepts nothing new
 };
 
+// When and how a host may order its own runner.
+struct OrderRight {
+  Time from;
+  int64_t fence = 0;
+};
+
 struct RunnerOwnership {
   std::string session;
   std::string address;
   std::string zone;
   Time started;
   Duration lease = std::chrono::seconds(3);
-  std::map<std::string, OwnerRow> rows;             // by runner
-  std::map<std::string, Time> orders_allowed_from;  // by own runner
+  std::map<std::string, OwnerRow> rows;            // by runner
+  std::map<std::string, OrderRight> order_rights;  // by own runner
   std::map<std::string, Time> unowned_since;  // first seen without a live owner
   Time contact;  // when the newest request that the store answered was sent
 };
@@ -71,9 +101,15 @@
   std::string zone;
 };
 
-// Why a host may claim a row. It decides how long the host then waits before
-// its first order.
-enum class ClaimReason { kUnowned, kRestarted, kOwnerLeft, kOwnerSilent };
+// Why a host may claim a row. It decides how long the host has to wait for the
+// last orders of the row's owner.
+enum class ClaimReason {
+  kUnowned,
+  kRestarted,
+  kOwnerLeft,
+  kOwnerSilent,
+  kRowRemoved,  // by another program
+};
 
 std::string_view ClaimReasonName(ClaimReason reason);
 
@@ -81,6 +117,7 @@
   std::string runner;
   int64_t expected = 0;  // version that the row must still have
   ClaimReason reason = ClaimReason::kUnowned;
+  Duration wait{};  // from the write of the claim to the first order
 };
 
 // The rows that this host should try to claim now. `hosts` is keyed by session.
@@ -96,16 +133,40 @@
                    Time now,
                    RunnerOwnership* ownership);
 
+// The own rows whose wait has passed but which still have one in the store.
+// They are to be written again without it.
+std::vector<OwnerClaim> PlanWaitRemovals(Time now,
+                                         const RunnerOwnership& ownership);
+
+// Records that the store acknowledged one of them. The fencing number remains.
+void RecordWaitRemoved(const std::string& runner,
+                       int64_t version,
+                       RunnerOwnership* ownership);
+
 // Records a row as the store returned it. An older version is ignored.
 void RecordOwnerRow(const std::string& runner,
                     const OwnerRow& row,
+                    Time now,
                     RunnerOwnership* ownership);
 
+// Records that the store had no such row at its version `version`.
+void RecordOwnerRowRemoved(const std::string& runner,
+                           int64_t version,
+                           Time now,
+                           RunnerOwnership* ownership);
+
+// Own rows whose claim was not acknowledged, because the answer was lost. Their
+// orders are allowed once the rows' waits have passed. Returns the runners.
+std::vector<std::string> AdoptUnacknowledgedClaims(RunnerOwnership* ownership);
+
 // Records that the store answered a request sent at `sent`.
 void RecordContact(Time sent, RunnerOwnership* ownership);
 
 bool IsOwn(const RunnerOwnership& ownership, const std::string& runner);
 
+// The fencing number of this host's orders to `runner`; 0 if it may not order.
+int64_t FenceOf(const RunnerOwnership& ownership, const std::string& runner);
+
 // Whether this host may send an order to `runner` at `now`.
 bool MayOrder(const RunnerOwnership& ownership,
               const std::string& runner,
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -91,9 +91,10 @@
   return fmt::format(
       "host: entry-{}\nzone: zone-{}\nserving: direct\ncallers: {}\n"
       "readiness: {}\npeers: {}\noperators: {}\ntable: {}\n"
-      "heartbeat_ms: 500\ndrain_limit_ms: 8000\norder_lease_ms: 1000\n",
+      "heartbeat_ms: 500\ndrain_limit_ms: 8000\norder_lease_ms: {}\n",
       host, host % 2, Callers(host), Readiness(host), Address(50 + host),
-      Operators(host), options_.is_proxied ? StoreProxy(host) : Store());
+      Operators(host), options_.is_proxied ? StoreProxy(host) : Store(),
+      options_.lease_ms);
 }
 
 void Site::Launch(const std::string& name,
@@ -236,18 +237,22 @@
 }
 
 int Site::RunnersOwned() const {
-  constexpr std::string_view kGauge = "\nrosemaryhook_runners_owned ";
   int owned = 0;
   for (int i = 0; i < options_.hosts; ++i) {
-    const std::string text = Exchange(Operators(i), "GET", "/metrics").body;
-    const size_t at = text.find(kGauge);
-    owned += at == std::string::npos
-                 ? 0
-                 : std::stoi(text.substr(at + kGauge.size(), 8));
+    owned += RunnersOwnedBy(i);
   }
   return owned;
 }
 
+int Site::RunnersOwnedBy(int host) const {
+  constexpr std::string_view kGauge = "\nrosemaryhook_runners_owned ";
+  const std::string text = Exchange(Operators(host), "GET", "/metrics").body;
+  const size_t at = text.find(kGauge);
+  return at == std::string::npos
+             ? 0
+             : std::stoi(text.substr(at + kGauge.size(), 8));
+}
+
 bool Site::AwaitReady(int host) const {
   return Await(30, [&] {
     return Exchange(Readiness(host), "GET", "/v1/readyz").status == 200;
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -27,7 +27,8 @@
   int services = 1;
   double rate = 1e6;
   double burst = 1e6;
-  int work_ms = 15;  // per request, of a backend server without a model
+  int work_ms = 15;     // per request, of a backend server without a model
+  int lease_ms = 1000;  // between orders of two hosts to one runner
   // Hosts reach the store and backend servers through StoreProxy and
   // BackendProxy, where the test must run a proxy.
   bool is_proxied = false;
@@ -93,6 +94,7 @@
   const std::string& folder() const { return folder_; }
   bool AwaitReady(int host) const;
   int RunnersOwned() const;  // by all hosts
+  int RunnersOwnedBy(int host) const;
 
  private:
   std::string Address(int offset) const;
