Take no late copy of a refusal for the answer to another attempt

What callers saw: a booking or stream that ran twice, or "not run, try again" for one that ran.

Cause: answers are matched by the request's id, but (1) a refusal without an id was accepted by its place on the connection; (2) a request that is repeated at the runner that refused it (it lacked the adapter and has loaded it) has the same id, so a late copy of its own first refusal matched; (3) orders and reports, whose answers have no ids, shared connections with requests.

Ruled out: copies with another request's id (skipped before, and now); bytes that arrive while a connection is idle (it is not reused).

Change: a connection that delivered an answer without an id is not reused; the repeat at a runner that refused the request uses a new connection; orders and reports have connections of their own. Weighed and not taken: no kept connections for what may run only once (one connection a booking), a pause before reuse (no bound), the id demanded of every refusal (unknown ends for requests that did not run).

Why it works: on a connection in use by requests each earlier answer had an id, and none of them this request's, so a copy of any of them is told apart.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -2,6 +2,13 @@
 // zone is out, or that is not the chosen one (each is checked again just before
 // the first byte); an answer with another request's id is never forwarded; a
 // truncated answer never looks complete.
+//
+// A faulty backend server may write an answer once more, late, where the next
+// answer on the connection is expected. The id tells such copies apart, with
+// two exceptions. A refusal may have no id; so a connection that delivered an
+// answer without one is not reused, and requests share no connections with
+// orders and reports, whose answers have none. And a request may be repeated at
+// the backend server that refused it; the repeat uses a new connection.
 #include "rosemaryhook/direct_call.h"
 
 #include <algorithm>
@@ -143,6 +150,7 @@
   http.body = call.request.body;
   http.deadline = call.deadline;
   http.connect_timeout = kConnectTimeout;
+  http.fresh_connection = call.refused_by.contains(view.entry.id);
   http.may_send = [&call, &daemon, id = view.entry.id] {
     return MaySend(daemon, id, call);
   };
@@ -155,6 +163,9 @@
                                              HttpHead head) {
   for (int i = 0; i < kMaxSkippedAnswers; ++i) {
     const auto answer = platform::ParseRunnerAnswer(head);
+    if (answer.request_id.empty()) {
+      exchange.CloseAfterAnswer();
+    }
     if (answer.request_id == call.headers.request_id ||
         (answer.request_id.empty() && answer.is_not_run)) {
       co_return head;
@@ -303,6 +314,7 @@
                                         const HttpHead& head,
                                         RunnerView* view) {
   co_await BufferBody(exchange);
+  call.refused_by.insert(view->entry.id);
   AttemptOutcome outcome = MakeOutcome(
       AttemptEnd::kNotRun, "refused with " + std::to_string(head.status));
   const auto answer = platform::ParseRunnerAnswer(head);
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -100,7 +100,8 @@
   std::string settings_file;
   std::string session;
   Time started;
-  HttpPool pool;
+  HttpPool pool;          // to the store and other hosts, and for requests
+  HttpPool control_pool;  // for orders to runners and reports on them
   Store store;
   Metrics metrics;
   std::shared_ptr<HttpServer> callers;
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -77,9 +77,13 @@
   gauge("requests_waiting", static_cast<int64_t>(daemon.runner_waiters.size()));
   gauge("blocked_parts",
         static_cast<int64_t>(daemon.prompt_suspects.blocked.size()));
-  gauge("connections_opened", static_cast<int64_t>(daemon.pool.opened));
-  gauge("connections_reused", static_cast<int64_t>(daemon.pool.reused));
-  gauge("connections_discarded", static_cast<int64_t>(daemon.pool.discarded));
+  gauge("connections_opened",
+        static_cast<int64_t>(daemon.pool.opened + daemon.control_pool.opened));
+  gauge("connections_reused",
+        static_cast<int64_t>(daemon.pool.reused + daemon.control_pool.reused));
+  gauge("connections_discarded",
+        static_cast<int64_t>(daemon.pool.discarded +
+                             daemon.control_pool.discarded));
   return text;
 }
 
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -117,7 +117,7 @@
   call.method = "GET";
   call.target = platform::kReportTarget;
   const int64_t start_ms = view->entry.start_ms;
-  auto fetched = co_await Fetch(&daemon->pool, std::move(call));
+  auto fetched = co_await Fetch(&daemon->control_pool, std::move(call));
   const Time now = Now();
   owned->plan.report_due = now + kReportRetryDelay;
   if (!IsOk(fetched)) {
@@ -192,7 +192,7 @@
   order.fence = FenceOf(daemon->ownership, runner);
   order.holder = daemon->settings.host;
   call.body = platform::EncodeOrder(order);
-  auto fetched = co_await Fetch(&daemon->pool, std::move(call));
+  auto fetched = co_await Fetch(&daemon->control_pool, std::move(call));
   const OrderResult result = ToOrderResult(fetched);
   const auto* answer = std::get_if<HttpAnswer>(&fetched);
   Log("order", {{"runner", runner},
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -185,6 +185,9 @@
   // Keep-Alive header.
   void SetIdleTimeout(Duration limit) { idle_timeout_ = limit; }
 
+  // Does not keep the connection for reuse.
+  void CloseAfterAnswer() { is_reusable_ = false; }
+
   // Whether any byte of the request may have reached the peer.
   bool may_have_reached() const { return may_have_reached_; }
 
@@ -221,6 +224,7 @@
   Duration idle_timeout_;
   Time sent_;
   bool may_have_reached_ = false;
+  bool is_reusable_ = true;
   bool reused_ = false;
   bool is_refused_ = false;
   bool is_closed_by_peer_ = false;
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -250,8 +250,8 @@
 }
 
 bool HttpExchange::IsReusable() const {
-  return parser_->get().keep_alive() && buffer_.size() == 0 && stream_ &&
-         upload_->is_done && idle_timeout_ > Duration::zero();
+  return is_reusable_ && parser_->get().keep_alive() && buffer_.size() == 0 &&
+         stream_ && upload_->is_done && idle_timeout_ > Duration::zero();
 }
 
 awaitable<Result<std::string>> HttpExchange::ReadChunk() {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -22,7 +22,7 @@
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
-  takeover odd_rows)
+  takeover odd_rows late_refusals)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
   rosemaryhook/testing/site.cc rosemaryhook/testing/fault_proxy.cc)
@@ -78,7 +78,10 @@
   direct/a_stream_that_ends_within_an_event_is_not_complete
   refused_host/a_long_configuration_reaches_hosts_the_store_refuses
   takeover/a_restarted_host_keeps_the_wait_after_a_takeover
-  odd_rows/hosts_follow_the_lists_after_odd_entries)
+  odd_rows/hosts_follow_the_lists_after_odd_entries
+  late_refusals/a_late_copy_without_an_id_answers_no_other_request
+  late_refusals/a_late_copy_does_not_answer_the_repeat_at_its_runner
+  late_refusals/a_late_copy_of_a_refused_report_answers_no_request)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
