Continue a stream only with a stream

Report of another operator: a stream broke off, the next runner answered with an error, and its text was in the middle of the caller's stream, or the stream ended as if it were complete. It could happen here.

What callers saw: two events, then the text of an error of more than 64 KB, and a proper end of the stream.

Cause: an answer that is longer than the buffer of complete answers is forwarded as it arrives, whatever its status and whatever the caller already has.

Evidence: an_error_does_not_continue_a_stream failed 7 checks before (500, 404, a success that is no stream, a failed stream, of 100,000 bytes each); errors of 40 bytes and refusals of any length were right.

Ruled out: a whole second head (each path looks at head_sent first). HttpReply now ends the connection if it is asked for a second response; its test failed before. The relay mode does not retry after the head.

Change: once the caller has the head of a stream, anything but a successful stream ends the attempt as failed. A stream without length or chunks that ends before its first event is broken off, not complete; that case failed before, too.

Why it works: only ForwardStream writes into a begun answer, and it is reached only with the head of a stream or with nothing sent.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -277,6 +277,10 @@
     co_return MakeOutcome(AttemptEnd::kTruncated,
                           "the stream ended within an event");
   }
+  if (has_events && !boundary.has_event && exchange.ends_with_connection()) {
+    co_return MakeOutcome(AttemptEnd::kTruncated,
+                          "the stream ended before its first event");
+  }
   co_await call.reply.Chunk(std::move(call.events.partial));
   co_await call.reply.End();
   co_return MakeOutcome(AttemptEnd::kAnswered, "");
@@ -296,7 +300,7 @@
   if (!buffered.is_complete) {
     co_return MakeOutcome(AttemptEnd::kUnknown, "the answer broke off");
   }
-  if (head.status >= 500 || call.head_sent) {
+  if (head.status >= 500) {
     AttemptOutcome outcome =
         MakeOutcome(AttemptEnd::kFailed, "the runner failed");
     outcome.head = std::move(head);
@@ -351,6 +355,12 @@
   if (is_success && IsStream(head)) {
     co_return co_await ForwardStream(call, exchange, head, load, std::string());
   }
+  if (call.head_sent) {
+    exchange.Cancel();
+    co_return MakeOutcome(AttemptEnd::kFailed,
+                          "answered with " + std::to_string(head.status) +
+                              " where a stream was to be continued");
+  }
   co_return co_await ForwardBuffered(call, exchange, std::move(head), load);
 }
 
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -56,7 +56,8 @@
 std::string HeaderOf(const HttpRequest& request, std::string_view name);
 
 // Writes one response, either at once with Send or as a stream with Begin,
-// Chunk and End. Each returns false once a write to the caller has failed.
+// Chunk and End. Each returns false once a write to the caller has failed. A
+// second response, as by Send after Begin, ends the connection instead.
 class HttpReply {
  public:
   HttpReply(beast::tcp_stream* stream,
@@ -197,6 +198,9 @@
   // Whether the peer closed the connection before the end of the answer.
   bool is_closed_by_peer() const { return is_closed_by_peer_; }
 
+  // Whether the answer has neither a length nor chunks.
+  bool ends_with_connection() const { return parser_->need_eof(); }
+
   // Whether the request was sent on a reused connection.
   bool reused() const { return reused_; }
 
--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -346,7 +346,10 @@
 }
 
 awaitable<bool> HttpReply::Send(int status, Headers headers, std::string body) {
-  begun_ = true;
+  if (std::exchange(begun_, true)) {
+    Abort();
+    co_return false;
+  }
   http::response<http::string_body> response(static_cast<http::status>(status),
                                              11);
   SetHeaders(headers, &response);
@@ -361,7 +364,10 @@
 }
 
 awaitable<bool> HttpReply::Begin(int status, Headers headers) {
-  begun_ = true;
+  if (std::exchange(begun_, true)) {
+    Abort();
+    co_return false;
+  }
   http::response<http::empty_body> response(static_cast<http::status>(status),
                                             11);
   SetHeaders(headers, &response);
--- a/rosemaryhook/testing/http_io_test.cc
+++ b/rosemaryhook/testing/http_io_test.cc
@@ -30,6 +30,10 @@
         co_await disconnected.Wait(Now() + std::chrono::seconds(3));
         disconnects += is_disconnected ? 1 : 0;
       }
+      if (request.target == "/twice") {
+        co_await reply.Begin(200, {});
+        co_await reply.Chunk("part");
+      }
       co_await reply.Send(
           200, {}, request.method + " " + request.target + " " + request.body);
     };
@@ -147,6 +151,16 @@
   BOOST_TEST(server.disconnects == 1);
 }
 
+// Guards against the head of a second response in the middle of a stream.
+BOOST_AUTO_TEST_CASE(a_second_response_ends_the_connection_instead) {
+  EchoServer server;
+  const std::string answer =
+      server.Send("GET /twice HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(answer.find("part") != std::string::npos, answer);
+  BOOST_TEST(answer.rfind("HTTP/1.1") == 0U, answer);
+  BOOST_TEST(answer.find("0\r\n\r\n") == std::string::npos, answer);
+}
+
 // A server that sends `bytes` after it has read the beginning of a request,
 // then closes or resets the connection.
 class RawPeer {
--- a/rosemaryhook/testing/odd_rows_process_test.cc
+++ b/rosemaryhook/testing/odd_rows_process_test.cc
@@ -3,14 +3,14 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
+#include "rosemaryhook/testing/scripted_server.h"
 #include "rosemaryhook/testing/site.h"
 
 namespace rosemaryhook::testing {
 namespace {
 
 Json SoundEntry(const std::string& address) {
-  return {{"service", "booking"}, {"address", address}, {"zone", "zone-0"},
-          {"slots", 8},           {"state", "ready"},   {"born", 1}};
+  return ServerEntry("booking", address);
 }
 
 Json WithField(Json entry, const std::string& field, const Json& value) {
--- /dev/null
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -0,0 +1,83 @@
+#include "rosemaryhook/testing/scripted_server.h"
+
+#include <variant>
+
+namespace rosemaryhook::testing {
+namespace {
+
+// The copy of an earlier answer is read before the answer itself arrives.
+constexpr auto kCopyLead = std::chrono::milliseconds(20);
+
+}  // namespace
+
+ScriptedServer::ScriptedServer(const std::string& address, Handler handler)
+    : acceptor_(io_, std::get<tcp::endpoint>(ParseAddress(address))),
+      handler_(std::move(handler)),
+      thread_([this] { Accept(); }) {}
+
+ScriptedServer::~ScriptedServer() {
+  is_ending_ = true;
+  beast::error_code ec;
+  tcp::socket(io_).connect(acceptor_.local_endpoint(), ec);
+  thread_.join();
+  for (const auto& socket : sockets_) {
+    socket->shutdown(tcp::socket::shutdown_both, ec);
+  }
+  for (std::thread& connection : connections_) {
+    connection.join();
+  }
+}
+
+void ScriptedServer::Accept() {
+  while (!is_ending_) {
+    auto socket = std::make_shared<tcp::socket>(io_);
+    beast::error_code ec;
+    acceptor_.accept(*socket, ec);
+    if (!ec) {
+      sockets_.push_back(socket);
+      connections_.emplace_back([this, socket] { Serve(socket.get()); });
+    }
+  }
+}
+
+void ScriptedServer::Serve(tcp::socket* socket) {
+  beast::flat_buffer buffer;
+  beast::error_code ec;
+  std::string copy;
+  while (!ec) {
+    ScriptedRequest request;
+    http::read(*socket, buffer, request, ec);
+    if (ec) {
+      return;
+    }
+    const Answer answer = handler_(request);
+    if (!copy.empty()) {
+      asio::write(*socket, asio::buffer(copy), ec);
+      std::this_thread::sleep_for(kCopyLead);
+    }
+    asio::write(*socket, asio::buffer(answer.bytes), ec);
+    copy = answer.is_repeated ? answer.bytes : std::string();
+    if (answer.closes) {
+      socket->shutdown(tcp::socket::shutdown_both, ec);
+      return;
+    }
+  }
+}
+
+std::string MakeAnswer(const std::string& status,
+                       const std::string& headers,
+                       const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string IdHeaders(const std::string& id) {
+  return "X-Attempt-Id: " + id + "\r\nX-Server-Stamp: stamp-" + id + "\r\n";
+}
+
+Json ServerEntry(const std::string& service, const std::string& address) {
+  return {{"service", service}, {"address", address}, {"zone", "zone-0"},
+          {"slots", 8},         {"state", "ready"},   {"born", 1}};
+}
+
+}  // namespace rosemaryhook::testing
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -22,8 +22,9 @@
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
-  takeover odd_rows late_refusals)
+  takeover odd_rows late_refusals broken_streams)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
+  rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
   rosemaryhook/testing/site.cc rosemaryhook/testing/fault_proxy.cc)
 foreach(suite ${PROCESS_SUITES})
@@ -81,7 +82,8 @@
   odd_rows/hosts_follow_the_lists_after_odd_entries
   late_refusals/a_late_copy_without_an_id_answers_no_other_request
   late_refusals/a_late_copy_does_not_answer_the_repeat_at_its_runner
-  late_refusals/a_late_copy_of_a_refused_report_answers_no_request)
+  late_refusals/a_late_copy_of_a_refused_report_answers_no_request
+  broken_streams/an_error_does_not_continue_a_stream)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
