Reset connections on which an order got no answer

An order that gets no answer within 60 ms ends its exchange, but closing a socket leaves its unsent bytes to the kernel, which sends them until the connection's limit of 2 s for unacknowledged data. If the link comes back in that time, the order arrives up to 2 s late, and the lease and margin of 3.4 s after the owner's time are then not kept at the runner.

What callers saw: nothing; a runner would see two owners within one lease. By reading, not seen in a run with a cut link.

Test: http_io/an_unanswered_order_is_reset has both cases; without the option the peer sees an orderly end, which was the behaviour for orders before.

Ruled out: a wait between MayOrder and the first byte (may_send is asked after the connection is open, and a short request is written without waiting).

--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -103,6 +103,8 @@
   call.headers = platform::ControlHeaders(runner);
   call.deadline = Now() + kOrderTimeout;
   call.connect_timeout = kOrderTimeout;
+  // A late order could arrive after those of the runner's next owner.
+  call.resets_on_close = true;
   call.may_send = [&daemon, runner] {
     return MayOrder(daemon.ownership, runner, Now()) && !daemon.is_leaving;
   };
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -145,6 +145,9 @@
   Duration progress_timeout{};  // without progress, 0 for none but the deadline
   bool fresh_connection = false;  // for calls that may not be repeated
   Duration connect_timeout = std::chrono::seconds(2);
+  // Resets the connection when it is closed, so that a request that the network
+  // holds up is lost with its exchange instead of arriving late.
+  bool resets_on_close = false;
   // Called once the connection is open, just before the first byte is sent. If
   // it returns false the exchange ends with nothing sent. Empty means true.
   std::function<bool()> may_send;
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -180,6 +180,10 @@
   if (call_.may_send && !call_.may_send()) {
     co_return Error{Step::kSend, call_.address, "not allowed to send any more"};
   }
+  if (call_.resets_on_close) {
+    beast::error_code ignored;
+    stream_->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   may_have_reached_ = true;
   sent_ = Now();
   if (request.body().size() > kMaxInlineBodyBytes) {
--- a/rosemaryhook/testing/http_io_test.cc
+++ b/rosemaryhook/testing/http_io_test.cc
@@ -243,6 +243,46 @@
   }
 }
 
+// Guards against an order that the network holds up, and that arrives after the
+// next owner's. What waits in a closed connection is still delivered, what
+// waits in a reset one is not.
+BOOST_AUTO_TEST_CASE(an_unanswered_order_is_reset) {
+  for (const bool resets : {false, true}) {
+    asio::io_context peer_io;
+    tcp::acceptor acceptor(
+        peer_io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    beast::error_code end;
+    std::thread peer([&] {
+      tcp::socket socket(peer_io);
+      acceptor.accept(socket);
+      std::string seen(512, '\0');
+      while (!end) {
+        socket.read_some(asio::buffer(seen), end);
+      }
+    });
+    asio::io_context io;
+    HttpPool pool;
+    HttpCall call;
+    call.address =
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    call.target = "/order";
+    call.deadline = Now() + std::chrono::milliseconds(60);
+    call.resets_on_close = resets;
+    bool is_failed = false;
+    asio::co_spawn(
+        io,
+        [&]() -> awaitable<void> {
+          const auto result = co_await Fetch(&pool, call);
+          is_failed = Failure(result) != nullptr;
+        },
+        asio::detached);
+    io.run();
+    peer.join();
+    BOOST_TEST(is_failed);
+    BOOST_TEST((end == asio::error::connection_reset) == resets, end.message());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_early_answer_is_returned_while_the_body_is_being_sent) {
   RawPeer peer("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n", false,
                false);
