Log on what kind of connection an attempt's answer came

A request that ran twice could not be traced: the line of a refused attempt did not say whether its connection had carried other requests before, which decides whether an answer without an id can be believed. 'attempt' lines now have the number of sends, 'connection' (new or reused) and 'earlier_answers', and there is one for the repeat that was answered, too. No logic changed.

The comment of http_client.cc said that calls that may not be repeated open a new connection; none did. It now says what the code does.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -458,6 +458,8 @@
   }
   outcome.is_connection_refused = exchange.is_refused();
   outcome.is_closed_by_peer = exchange.is_closed_by_peer();
+  outcome.is_new_connection = !exchange.reused();
+  outcome.earlier_answers = exchange.earlier_answers();
   call.sends += exchange.may_have_reached() ? 1 : 0;
   call.runs += outcome.end == AttemptEnd::kNotRun ? 0 : 1;
   RecordRunnerHealth(call, outcome, exchange, view);
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -71,6 +71,9 @@
   bool is_connection_refused = false;
   bool is_closed_by_peer = false;  // before the end of the answer
   bool lacks_adapter = false;      // refused: adapter or version is not loaded
+  // Of the connection that was used.
+  bool is_new_connection = false;
+  int earlier_answers = 0;
 };
 
 // Sends the call to `runner`, an id in `daemon->runners`, and forwards the
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -365,17 +365,26 @@
                        MakeDirectRefusal(is_late ? 504 : 502, outcome.reason));
 }
 
+void LogAttempt(const DirectCall& call,
+                const AttemptOutcome& outcome,
+                const std::string& runner) {
+  Log("attempt", {{"id", call.headers.request_id},
+                  {"runner", runner},
+                  {"start", call.attempt_incarnation},
+                  {"end", AttemptEndName(outcome.end)},
+                  {"begun", call.attempt_has_begun ? 1 : 0},
+                  {"sends", call.sends},
+                  {"connection", outcome.is_new_connection ? "new" : "reused"},
+                  {"earlier_answers", outcome.earlier_answers},
+                  {"parts", JoinedParts(call)},
+                  {"why", outcome.reason}});
+}
+
 void RecordEnd(DirectCall* call,
                const AttemptOutcome& outcome,
                const std::string& runner) {
   DirectDaemon& daemon = *call->daemon;
-  Log("attempt", {{"id", call->headers.request_id},
-                  {"runner", runner},
-                  {"start", call->attempt_incarnation},
-                  {"end", AttemptEndName(outcome.end)},
-                  {"begun", call->attempt_has_begun ? 1 : 0},
-                  {"parts", JoinedParts(*call)},
-                  {"why", outcome.reason}});
+  LogAttempt(*call, outcome, runner);
   RecordAttemptEnd(*call, outcome);
   if (outcome.lacks_adapter) {
     daemon.runners[runner].held.erase(call->headers.adapter);
@@ -407,6 +416,8 @@
     outcome = co_await AttemptCall(call, runner);
     if (outcome.end != AttemptEnd::kAnswered) {
       RecordEnd(&call, outcome, runner);
+    } else if (call.sends > 1) {
+      LogAttempt(call, outcome, runner);
     }
     switch (DecideNext(call, outcome)) {
       case NextStep::kDone:
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -143,7 +143,7 @@
   std::string body;
   Time deadline;                // for the whole exchange
   Duration progress_timeout{};  // without progress, 0 for none but the deadline
-  bool fresh_connection = false;  // for calls that may not be repeated
+  bool fresh_connection = false;  // does not reuse an idle connection
   Duration connect_timeout = std::chrono::seconds(2);
   // Resets the connection when it is closed, so that a request that the network
   // holds up is lost with its exchange instead of arriving late.
@@ -164,6 +164,7 @@
     std::shared_ptr<beast::tcp_stream> stream;
     Time kept_since;  // end of its last exchange
     Time expires;
+    int answers = 0;  // that it has delivered
   };
   std::map<std::string, std::vector<Idle>> idle;
   uint64_t opened = 0;     // connections opened
@@ -207,6 +208,9 @@
   // Whether the request was sent on a reused connection.
   bool reused() const { return reused_; }
 
+  // Answers that the connection had delivered to earlier requests.
+  int earlier_answers() const { return earlier_answers_; }
+
   // Closes the connection. An operation in progress ends with an error.
   void Cancel();
 
@@ -233,6 +237,7 @@
   bool may_have_reached_ = false;
   bool is_reusable_ = true;
   bool reused_ = false;
+  int earlier_answers_ = 0;
   bool is_refused_ = false;
   bool is_closed_by_peer_ = false;
 };
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -1,8 +1,8 @@
-// Idle connections are pooled by address and reused for calls that may be
-// repeated. A call that may not be repeated opens a new connection, because a
-// pooled one may be broken without either side having noticed. Connections to
-// one address go silent together, so a timeout on one discards the others that
-// have been idle since.
+// Idle connections are pooled by address and reused, also for calls that may
+// not be repeated: new connections are expensive, and a call whose pooled
+// connection turns out to be broken ends as unknown. Connections to one address
+// go silent together, so a timeout on one discards the others that have been
+// idle since.
 #include <netinet/tcp.h>
 
 #include <algorithm>
@@ -65,26 +65,26 @@
          ec == asio::error::connection_reset || ec == asio::error::broken_pipe;
 }
 
-std::shared_ptr<beast::tcp_stream> PopIdleConnection(
-    HttpPool* pool,
-    const std::string& address) {
+// Returns an idle connection that is still open; its `stream` is null if there
+// is none.
+HttpPool::Idle PopIdleConnection(HttpPool* pool, const std::string& address) {
   const auto found = pool->idle.find(address);
   if (found == pool->idle.end()) {
-    return nullptr;
+    return {};
   }
   auto& idle = found->second;
   std::erase_if(idle,
                 [now = Now()](const auto& i) { return i.expires <= now; });
   if (idle.empty()) {
-    return nullptr;
+    return {};
   }
-  auto stream = std::move(idle.back().stream);
+  HttpPool::Idle connection = std::move(idle.back());
   idle.pop_back();
-  if (!IsOpenAndIdle(&stream->socket())) {
-    return nullptr;
+  if (!IsOpenAndIdle(&connection.stream->socket())) {
+    return {};
   }
   ++pool->reused;
-  return stream;
+  return connection;
 }
 
 }  // namespace
@@ -221,7 +221,9 @@
 awaitable<Result<HttpHead>> HttpExchange::Start(HttpCall call) {
   call_ = std::move(call);
   if (!call_.fresh_connection) {
-    stream_ = PopIdleConnection(pool_, call_.address);
+    HttpPool::Idle idle = PopIdleConnection(pool_, call_.address);
+    stream_ = std::move(idle.stream);
+    earlier_answers_ = idle.answers;
   }
   reused_ = stream_ != nullptr;
   if (!stream_) {
@@ -281,7 +283,8 @@
     if (idle.size() < kMaxIdlePerAddress) {
       stream_->expires_never();
       const Time now = Now();
-      idle.push_back({std::move(stream_), now, now + idle_timeout_});
+      idle.push_back(
+          {std::move(stream_), now, now + idle_timeout_, earlier_answers_ + 1});
     }
   }
   co_return std::string();
