Show that late answers without an id repeat bookings (TWICE)

The booking that was running was sent to the second server and ran there again, or was refused as not run.

RunLedger moves into a header, as a second test uses it. ScriptedServer can write any bytes before its next answer.

--- a/rosemaryhook/testing/late_refusals_process_test.cc
+++ b/rosemaryhook/testing/late_refusals_process_test.cc
@@ -3,34 +3,17 @@
 // servers in this process.
 #include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <map>
 #include <mutex>
 #include <set>
 #include <thread>
 
+#include "rosemaryhook/testing/run_ledger.h"
 #include "rosemaryhook/testing/scripted_server.h"
 #include "rosemaryhook/testing/site.h"
 
 namespace rosemaryhook::testing {
 namespace {
 
-// Counts runs by request id.
-class RunLedger {
- public:
-  void Add(const std::string& id) {
-    const std::scoped_lock lock(mutex_);
-    ++runs_[id];
-  }
-  int Runs(const std::string& id) {
-    const std::scoped_lock lock(mutex_);
-    return runs_[id];
-  }
-
- private:
-  std::mutex mutex_;
-  std::map<std::string, int> runs_;
-};
-
 BOOST_AUTO_TEST_SUITE(late_refusals)
 
 // Guards against bookings that ran twice, or were refused though they ran: a
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -5,8 +5,8 @@
 namespace rosemaryhook::testing {
 namespace {
 
-// The copy of an earlier answer is read before the answer itself arrives.
-constexpr auto kCopyLead = std::chrono::milliseconds(20);
+// What is late is read before the answer itself arrives.
+constexpr auto kLateLead = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -43,7 +43,7 @@
 void ScriptedServer::Serve(tcp::socket* socket) {
   beast::flat_buffer buffer;
   beast::error_code ec;
-  std::string copy;
+  std::string late;
   while (!ec) {
     ScriptedRequest request;
     http::read(*socket, buffer, request, ec);
@@ -51,12 +51,12 @@
       return;
     }
     const Answer answer = handler_(request);
-    if (!copy.empty()) {
-      asio::write(*socket, asio::buffer(copy), ec);
-      std::this_thread::sleep_for(kCopyLead);
+    if (!late.empty()) {
+      asio::write(*socket, asio::buffer(late), ec);
+      std::this_thread::sleep_for(kLateLead);
     }
     asio::write(*socket, asio::buffer(answer.bytes), ec);
-    copy = answer.is_repeated ? answer.bytes : std::string();
+    late = answer.is_repeated ? answer.bytes : answer.late;
     if (answer.closes) {
       socket->shutdown(tcp::socket::shutdown_both, ec);
       return;
--- a/rosemaryhook/testing/scripted_server.h
+++ b/rosemaryhook/testing/scripted_server.h
@@ -32,6 +32,7 @@
     // Written once more just before the next answer on its connection.
     bool is_repeated = false;
     bool closes = false;  // the connection after the answer
+    std::string late;     // written just before the next answer
   };
   using Handler = std::function<Answer(const ScriptedRequest& request)>;
 
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -22,7 +22,7 @@
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
-  takeover odd_rows late_refusals broken_streams)
+  takeover odd_rows late_refusals broken_streams run_once)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -83,7 +83,9 @@
   late_refusals/a_late_copy_without_an_id_answers_no_other_request
   late_refusals/a_late_copy_does_not_answer_the_repeat_at_its_runner
   late_refusals/a_late_copy_of_a_refused_report_answers_no_request
-  broken_streams/an_error_does_not_continue_a_stream)
+  broken_streams/an_error_does_not_continue_a_stream
+  run_once/a_late_answer_without_an_id_repeats_no_booking
+  run_once/no_mixture_of_answers_runs_a_request_twice)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
