Repeat a request that may run once only on a refusal that is provably its own

What callers saw: a booking ran at two servers and was answered 200, or was refused as not run though it ran (TWICE, REFUSED).

Cause: an answer without an id that bears the mark 'not run' was taken for the waiting request's, wherever its connection had been before. The mark was also believed on any status (a 200, a 500, an interim 103) and with any value. The class of fault: identity inferred from the place on a shared connection.

Change: answer_match.h decides from plain facts whether an answer is this attempt's. A refusal counts if it has the request's id, or if it is the first answer on a connection that was opened for the attempt; the mark only counts as '1', once, on a status that refuses. Any other refusal leaves the outcome unknown, closes the connection, and counts neither as a crash nor against the server's health. Interim answers are skipped, also those with the id, which were passed on as final answers before.

What this costs: a refusal without an id on a reused connection is answered 502 instead of being repeated.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -3,16 +3,18 @@
 // the first byte); an answer with another request's id is never forwarded; a
 // truncated answer never looks complete.
 //
-// A faulty backend server may write an answer once more, late, where the next
-// answer on the connection is expected. The id tells such copies apart, with
-// two exceptions. A refusal may have no id; so a connection that delivered an
-// answer without one is not reused, and requests share no connections with
-// orders and reports, whose answers have none. And a request may be repeated at
-// the backend server that refused it; the repeat uses a new connection.
+// A faulty backend server may write bytes after a complete answer, late, where
+// the next answer on the connection is expected. answer_match.h decides what an
+// answer proves. Besides, a connection that delivered an answer without an id
+// is not reused, requests share no connections with orders and reports, whose
+// answers have no ids, and a request that is repeated at the backend server
+// that refused it uses a new connection, since a copy of the refusal has the
+// same id.
 #include "rosemaryhook/direct_call.h"
 
 #include <algorithm>
 
+#include "rosemaryhook/answer_match.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_suspects.h"
@@ -157,21 +159,30 @@
   return http;
 }
 
-// Returns the head of the answer to this request, skipping answers to others.
-awaitable<Result<HttpHead>> ReadMatchingHead(const DirectCall& call,
-                                             HttpExchange& exchange,
-                                             HttpHead head) {
+struct MatchedHead {
+  HttpHead head;
+  AnswerMatch match = AnswerMatch::kOwn;
+};
+
+// Returns the head of the answer to this request, skipping others.
+awaitable<Result<MatchedHead>> ReadMatchingHead(const DirectCall& call,
+                                                HttpExchange& exchange,
+                                                HttpHead head) {
   for (int i = 0; i < kMaxSkippedAnswers; ++i) {
     const auto answer = platform::ParseRunnerAnswer(head);
     if (answer.request_id.empty()) {
       exchange.CloseAfterAnswer();
     }
-    if (answer.request_id == call.headers.request_id ||
-        (answer.request_id.empty() && answer.is_not_run)) {
-      co_return head;
+    const AnswerMatch match =
+        MatchAnswer({head.status, answer.request_id, answer.is_not_run,
+                     answer.is_contradictory, i == 0 && !exchange.reused()},
+                    call.headers.request_id);
+    if (match != AnswerMatch::kSkipped) {
+      co_return MatchedHead{std::move(head), match};
     }
     Log("foreign_answer", {{"id", call.headers.request_id},
                            {"answer_id", answer.request_id},
+                           {"status", head.status},
                            {"runner", call.last_runner}});
     auto next = co_await exchange.ReadNextHead();
     if (const Error* error = Failure(next)) {
@@ -334,16 +345,30 @@
   co_return outcome;
 }
 
+AttemptOutcome HandleUnprovenRefusal(const HttpHead& head,
+                                     HttpExchange* exchange) {
+  exchange->Cancel();
+  AttemptOutcome outcome =
+      MakeOutcome(AttemptEnd::kUnknown, "unproven refusal with status " +
+                                            std::to_string(head.status));
+  outcome.is_unproven_refusal = true;
+  return outcome;
+}
+
 awaitable<AttemptOutcome> HandleAnswer(DirectCall& call,
                                        HttpExchange& exchange,
-                                       HttpHead head,
+                                       MatchedHead matched,
                                        RunnerView* view,
                                        ScopedRequestLoad& load) {
+  HttpHead& head = matched.head;
   const auto answer = platform::ParseRunnerAnswer(head);
   if (answer.keep_alive) {
     exchange.SetIdleTimeout(*answer.keep_alive - kKeepAliveMargin);
   }
-  if (answer.is_not_run) {
+  if (matched.match == AnswerMatch::kUnproven) {
+    co_return HandleUnprovenRefusal(head, &exchange);
+  }
+  if (matched.match == AnswerMatch::kNotRun) {
     co_return co_await HandleRefusal(call, exchange, head, view);
   }
   const bool is_success = head.status >= 200 && head.status < 300;
@@ -368,7 +393,7 @@
                         const AttemptOutcome& outcome,
                         const HttpExchange& exchange,
                         RunnerView* view) {
-  if (call.is_disconnected || call.is_blocked) {
+  if (call.is_disconnected || call.is_blocked || outcome.is_unproven_refusal) {
     return;
   }
   const Time now = Now();
@@ -453,7 +478,7 @@
       outcome = MakeOutcome(AttemptEnd::kUnknown, error->message);
     } else {
       outcome = co_await HandleAnswer(
-          call, exchange, std::move(std::get<HttpHead>(head)), view, load);
+          call, exchange, std::move(std::get<MatchedHead>(head)), view, load);
     }
   }
   outcome.is_connection_refused = exchange.is_refused();
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -71,6 +71,8 @@
   bool is_connection_refused = false;
   bool is_closed_by_peer = false;  // before the end of the answer
   bool lacks_adapter = false;      // refused: adapter or version is not loaded
+  // Refused, but not provably: the request may have run.
+  bool is_unproven_refusal = false;
   // Of the connection that was used.
   bool is_new_connection = false;
   int earlier_answers = 0;
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -392,9 +392,9 @@
   } else {
     call->tried.insert(runner);
   }
-  const bool may_be_crash = outcome.end == AttemptEnd::kUnknown &&
-                            !call->is_disconnected && !call->is_blocked &&
-                            Now() < call->deadline;
+  const bool may_be_crash =
+      outcome.end == AttemptEnd::kUnknown && !outcome.is_unproven_refusal &&
+      !call->is_disconnected && !call->is_blocked && Now() < call->deadline;
   if (may_be_crash && !call->fingerprint.empty()) {
     RecordCrash(call->fingerprint, Now(), &daemon.suspects);
     daemon.suspects_changed.insert(call->fingerprint);
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -339,6 +339,36 @@
   BOOST_TEST(HeaderOf(refusal, "Retry-After") == "0.250");
 }
 
+// A statement that a request has not run counts only in a form that nothing
+// else in the answer contradicts.
+BOOST_AUTO_TEST_CASE(contradictory_refusals_are_recognized) {
+  struct Case {
+    int status;
+    std::vector<std::string> marks;
+    bool is_not_run;
+    bool is_contradictory;
+  };
+  const std::vector<Case> cases{
+      {503, {"1"}, true, false},     {429, {" 1 "}, true, false},
+      {421, {"1"}, true, false},     {400, {"1"}, true, false},
+      {503, {}, false, false},       {200, {}, false, false},
+      {200, {"1"}, false, true},     {500, {"1"}, false, true},
+      {502, {"1"}, false, true},     {503, {"0"}, false, true},
+      {503, {""}, false, true},      {503, {"1", "0"}, false, true},
+      {503, {"1", "1"}, false, true}};
+  for (const Case& c : cases) {
+    HttpHead head{c.status, {}};
+    for (const std::string& mark : c.marks) {
+      head.headers.emplace_back("X-Not-Run", mark);
+    }
+    const RunnerAnswer answer = ParseRunnerAnswer(head);
+    BOOST_TEST(answer.is_not_run == c.is_not_run, c.status);
+    BOOST_TEST(answer.is_contradictory == c.is_contradictory, c.status);
+  }
+  const HttpHead two_ids{503, {{"X-Attempt-Id", "a"}, {"X-Attempt-Id", "b"}}};
+  BOOST_TEST(ParseRunnerAnswer(two_ids).request_id == "a,b");
+}
+
 BOOST_AUTO_TEST_CASE(rows_are_decoded) {
   const auto parsed = ParseRows(
       R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4},)"
