Close the first runner's connection before a stream goes on at a second one

What callers could see: a request with a long body that went on at a second runner was still being sent to the first one, which went on working on it.

Cause: the coroutine that sends a long body shares the connection and outlives the exchange. An attempt that failed while the body was still being sent, as after a malformed chunk, only dropped its own reference, so the connection stayed open until the whole body was written.

An attempt that ends as failed, unknown or truncated now closes its connection at once; a refusal that comes before the whole body is read still lets the body be sent, as the runner reads on.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -481,6 +481,11 @@
           call, exchange, std::move(std::get<MatchedHead>(head)), view, load);
     }
   }
+  if (outcome.end != AttemptEnd::kAnswered &&
+      outcome.end != AttemptEnd::kNotRun) {
+    // A long body may still be being sent.
+    exchange.Cancel();
+  }
   outcome.is_connection_refused = exchange.is_refused();
   outcome.is_closed_by_peer = exchange.is_closed_by_peer();
   outcome.is_new_connection = !exchange.reused();
--- a/rosemaryhook/testing/run_once_process_test.cc
+++ b/rosemaryhook/testing/run_once_process_test.cc
@@ -210,6 +210,120 @@
   BOOST_TEST(served > kCallers * kRequestsPerCaller / 4);
 }
 
+// A runner that reads the head of one request, begins a stream, breaks it off
+// with a malformed chunk and only then reads on, until the connection ends.
+class StallingRunner {
+ public:
+  explicit StallingRunner(const std::string& address) : acceptor_(io_) {
+    const auto endpoint = std::get<tcp::endpoint>(ParseAddress(address));
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    // The rest of a long body stays with the sender.
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(4096));
+    acceptor_.bind(endpoint);
+    acceptor_.listen();
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~StallingRunner() { thread_.join(); }
+  StallingRunner(const StallingRunner&) = delete;
+  StallingRunner& operator=(const StallingRunner&) = delete;
+
+  bool has_request() const { return has_request_; }
+  void Resume() { may_resume_ = true; }
+  // Bytes received until the connection ended, -1 if it stayed open.
+  int64_t AwaitReceived() {
+    Await(5, [this] { return received_ != 0; });
+    return received_;
+  }
+
+ private:
+  void Serve() {
+    beast::error_code ec;
+    std::string data;
+    tcp::socket socket(io_);
+    // Hosts also connect to ask for reports.
+    while (!data.starts_with("POST")) {
+      data.clear();
+      socket = acceptor_.accept();
+      asio::read_until(socket, asio::dynamic_buffer(data), "\r\n\r\n", ec);
+    }
+    has_request_ = true;
+    const size_t id = data.find("X-Attempt-Id: ") + 14;
+    const std::string begun =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+        IdHeaders(data.substr(id, data.find("\r\n", id) - id)) +
+        "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: first\n\n"
+        "\r\nmalformed\r\n";
+    Await(5, [this] { return may_resume_.load(); });
+    asio::write(socket, asio::buffer(begun), ec);
+    Await(5, [this] { return !may_resume_.load(); });
+    int64_t total = static_cast<int64_t>(data.size());
+    timeval limit{1, 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit,
+               sizeof limit);
+    std::vector<char> chunk(64 << 10);
+    ssize_t n = 0;
+    while ((n = recv(socket.native_handle(), chunk.data(), chunk.size(), 0)) >
+           0) {
+      total += n;
+    }
+    const bool is_open = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    received_ = is_open ? -1 : total;
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> has_request_ = false;
+  std::atomic<bool> may_resume_ = false;
+  std::atomic<int64_t> received_ = 0;
+  std::thread thread_;
+
+ public:
+  void ReadOn() { may_resume_ = false; }
+};
+
+// Guards against a request that goes on at a second runner while the first one
+// still receives its body, and so works on it.
+BOOST_AUTO_TEST_CASE(a_runner_that_broke_off_gets_no_more_of_the_body) {
+  constexpr size_t kBodyBytes = 3'900'000;
+  Site site({.port = 20000, .hosts = 1, .runners = 0, .services = 0});
+  StallingRunner stalling(site.Backend(0));
+  ScriptedServer second(
+      site.Backend(1),
+      [](const ScriptedRequest& request) -> ScriptedServer::Answer {
+        const std::string id(request["X-Attempt-Id"]);
+        return {MakeAnswer(
+            "200 OK", IdHeaders(id) + "Content-Type: text/event-stream\r\n",
+            "id: 2\ndata: second\n\n")};
+      });
+  const auto add_runner = [&site](const std::string& id, int backend) {
+    Json entry = ServerEntry("chat", site.Backend(backend));
+    entry["models"] = Json::array(
+        {{{"name", "base"}, {"version", 1}, {"adapters", {"a1@1"}}}});
+    site.Set("servers", id, entry);
+  };
+  add_runner("i-stalling", 0);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  Reply reply;
+  std::thread caller([&] {
+    reply = site.Send(0, "/note/x",
+                      {{"X-Attempt-Id", "long"},
+                       {"X-Model", "base/a1"},
+                       {"X-Deadline-Ms", "8000"}},
+                      std::string(kBodyBytes, 'x'));
+  });
+  BOOST_TEST(Await(5, [&] { return stalling.has_request(); }));
+  add_runner("i-second", 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  stalling.Resume();
+  caller.join();
+  stalling.ReadOn();
+  BOOST_TEST(reply.body.find("second") != std::string::npos, reply.body);
+  const int64_t received = stalling.AwaitReceived();
+  BOOST_TEST(received > 0);
+  BOOST_TEST(received < static_cast<int64_t>(kBodyBytes));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -45,12 +45,13 @@
   beast::error_code ec;
   std::string late;
   while (!ec) {
-    ScriptedRequest request;
-    http::read(*socket, buffer, request, ec);
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    http::read(*socket, buffer, parser, ec);
     if (ec) {
       return;
     }
-    const Answer answer = handler_(request);
+    const Answer answer = handler_(parser.get());
     if (!late.empty()) {
       asio::write(*socket, asio::buffer(late), ec);
       std::this_thread::sleep_for(kLateLead);
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -85,7 +85,8 @@
   late_refusals/a_late_copy_of_a_refused_report_answers_no_request
   broken_streams/an_error_does_not_continue_a_stream
   run_once/a_late_answer_without_an_id_repeats_no_booking
-  run_once/no_mixture_of_answers_runs_a_request_twice)
+  run_once/no_mixture_of_answers_runs_a_request_twice
+  run_once/a_runner_that_broke_off_gets_no_more_of_the_body)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
