Bind requests in progress by the kind of their route in force

Cause: whether a request may be repeated followed from the configuration at its arrival. If operators change a route to one whose requests may run once, a request that arrived before and fails after the change was still repeated. Found by reading, not seen in a run; the callers' half of the report (a run-once request that runs twice) fits it only around such a change.

Change: MayRunAgain asks both the route at arrival and that of the newest configuration. Test: direct_state/a_changed_kind_binds_requests_in_progress (new function, not seen failing).

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -432,6 +432,16 @@
          (route.kind == RequestKind::kStreaming && route.is_resumable);
 }
 
+bool MayRunAgain(const DirectCall& call) {
+  const Deployment* newest = call.daemon->deployment.get();
+  const RouteRule* route =
+      newest == nullptr ? nullptr
+                        : FindRoute(*newest, HeaderOf(call.request, "Host"),
+                                    call.request.target);
+  return IsRepeatable(*call.route) &&
+         (route == nullptr || IsRepeatable(*route));
+}
+
 awaitable<AttemptOutcome> AttemptCall(DirectCall& call, std::string runner) {
   DirectDaemon& daemon = *call.daemon;
   RunnerView* view = &daemon.runners[runner];
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -85,6 +85,10 @@
 // Whether a request of this kind may run more than once.
 bool IsRepeatable(const RouteRule& route);
 
+// Whether the call may run more than once by the route that it arrived on and
+// by that of the newest configuration, which may have changed the kind since.
+bool MayRunAgain(const DirectCall& call);
+
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_DIRECT_CALL_H_
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -328,7 +328,7 @@
       const bool can_continue =
           outcome.end != AttemptEnd::kTruncated ||
           (!call.events.last_id.empty() && !call.events.is_oversized);
-      return IsRepeatable(*call.route) && can_continue &&
+      return MayRunAgain(call) && can_continue &&
                      call.runs < call.route->max_attempts && MayRetry(call)
                  ? NextStep::kRetry
                  : NextStep::kFail;
--- a/rosemaryhook/testing/direct_state_test.cc
+++ b/rosemaryhook/testing/direct_state_test.cc
@@ -1,6 +1,7 @@
 // State of a daemon in direct mode that comes from the store and other hosts.
 #include <boost/test/unit_test.hpp>
 
+#include "rosemaryhook/direct_call.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_peers.h"
 #include "rosemaryhook/direct_store.h"
@@ -520,6 +521,46 @@
   BOOST_TEST(pollers(At(60)).size() == 8U);
 }
 
+// Guards against a request that is repeated by the kind that its route had when
+// it arrived, though operators have changed it meanwhile.
+BOOST_AUTO_TEST_CASE(a_changed_kind_binds_requests_in_progress) {
+  const auto configure = [this](int version, const std::string& kind) {
+    const std::string route =
+        R"({"name":"look","host":"a.example","prefix":"/look/","kind":")" +
+        kind + R"(","service":"s","timeout_ms":1000,"max_attempts":2})";
+    BOOST_REQUIRE(ApplyOperatorRow(
+        {"config",
+         R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route +
+             R"(],"services":[{"name":"s"}]})",
+         version, false},
+        At(version), &daemon));
+  };
+  HttpRequest request{"GET", "/look/1", {}, ""};
+  request.fields.set(http::field::host, "a.example");
+  HttpReply reply(nullptr, {}, true);
+  DirectCall call{std::shared_ptr<DirectDaemon>(&daemon, [](auto*) {}), request,
+                  reply, At(1), At(2)};
+  struct Case {
+    std::string at_arrival;
+    std::string newest;
+    bool may_run_again;
+  };
+  int version = 1;
+  for (const Case& c : std::vector<Case>{
+           {"idempotent", "idempotent", true},
+           {"idempotent", "non_idempotent", false},
+           {"non_idempotent", "idempotent", false},
+       }) {
+    configure(version++, c.at_arrival);
+    call.deployment = daemon.deployment;
+    call.route = FindRoute(*call.deployment, "a.example", "/look/1");
+    BOOST_REQUIRE(call.route != nullptr);
+    configure(version++, c.newest);
+    BOOST_TEST(MayRunAgain(call) == c.may_run_again,
+               c.at_arrival << " then " << c.newest);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
