--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -22,7 +22,8 @@
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
-  takeover odd_rows late_refusals broken_streams run_once)
+  takeover odd_rows late_refusals broken_streams run_once
+  named_limits)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -86,7 +87,8 @@
   broken_streams/an_error_does_not_continue_a_stream
   run_once/a_late_answer_without_an_id_repeats_no_booking
   run_once/no_mixture_of_answers_runs_a_request_twice
-  run_once/a_runner_that_broke_off_gets_no_more_of_the_body)
+  run_once/a_runner_that_broke_off_gets_no_more_of_the_body
+  named_limits/all_hosts_together_keep_to_a_named_limit)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
