Keep to the limits that backend servers name in their answers

Cause: the header was not decoded, so the server was chosen like any other. The class of fault: a bound over all hosts that each host only knows from its own answers.

Change. named_limit.h keeps what a server's answers say, for one lifetime of the server: an answer that names no limit, or a higher one, counts only if its request was sent after the newest answer that named one; one that nothing has confirmed for 30 s has ended; after its end a limit rises over 10 s, so that what it held back does not arrive at once. Answers to requests, refusals, orders and reports count. send_rate.h (the rates of cold servers before) divides a rate among the first hosts in the server's rendezvous order, two at low limits, each at most one request ahead, at seven tenths of the limit together; cold servers keep their four senders at their rates of today. A server that is cold and has named a limit gets the lower of both. What a host is told goes to all others with its next broadcast, which also tells hosts that send nothing of the end. Requests go to other servers; a limited one is no home for further adapters while another can be. If limits are all that is left, a request waits only as long as its place in the order of urgency allows, and is refused at once otherwise, with the time at which there is room.

Weighed: equal parts for all hosts (a burst of one request from each of 7 hosts breaks a limit of 1.1 a second already, and 86 or 1,800 hosts any); parts by demand, given out by the server's owner (a message and a new owner's delay before any use; better use where callers are uneven: open).

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -105,6 +105,7 @@
 struct LastSent {
   std::map<std::string, RunnerLoad> totals;
   std::map<std::string, double> tokens_used;
+  std::map<std::string, Time> limits;  // runner -> time of the statement
   Time full_due;
   Time keep_alive_due;  // next message to all, even without changes
 };
@@ -212,10 +213,37 @@
   }
 }
 
+// Only what a runner told this host itself is sent, so that statements do not
+// circulate.
+void AddLimits(bool is_full,
+               LastSent* last_sent,
+               const DirectDaemon& daemon,
+               PeerMessage* message) {
+  const Time now = Now();
+  for (const auto& [id, view] : daemon.runners) {
+    const NamedLimit& limit = view.named_limit;
+    if (!view.is_limited || view.told_at != limit.as_of) {
+      last_sent->limits.erase(id);
+      continue;
+    }
+    const bool is_in_force = IsInForce(limit, now);
+    const auto last = last_sent->limits.find(id);
+    const bool is_new = last == last_sent->limits.end();
+    const bool is_confirmed = !is_new && last->second != limit.as_of;
+    if (is_new || (is_full && (is_confirmed || !is_in_force))) {
+      message->limits[id] = {view.entry.start_ms,
+                             is_in_force ? limit.per_s : std::nullopt,
+                             now - limit.as_of};
+      last_sent->limits[id] = limit.as_of;
+    }
+  }
+}
+
 bool IsEmpty(const PeerMessage& message) {
-  return message.loads.empty() && message.tokens_used.empty() &&
-         message.totals.empty() && message.owned.empty() &&
-         message.suspects.empty() && message.parts.empty();
+  return message.loads.empty() && message.limits.empty() &&
+         message.tokens_used.empty() && message.totals.empty() &&
+         message.owned.empty() && message.suspects.empty() &&
+         message.parts.empty();
 }
 
 void SendToAll(const PeerMessage& message, DirectDaemon* daemon) {
@@ -285,6 +313,7 @@
   AddOwned(is_full, daemon, &out.common);
   AddLoads(is_full, last_sent, daemon, &out);
   AddTokensUsed(*daemon, is_full, last_sent, &out.common);
+  AddLimits(is_full, last_sent, *daemon, &out.common);
   out.common.suspects = SuspectsToJson(
       SuspectsToBroadcast(daemon->suspects,
                           std::exchange(daemon->suspects_changed, {}), is_full,
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/answer_match.h"
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_suspects.h"
@@ -177,6 +178,10 @@
         MatchAnswer({head.status, answer.request_id, answer.is_not_run,
                      answer.is_contradictory, i == 0 && !exchange.reused()},
                     call.headers.request_id);
+    RecordLimitStatement(
+        {call.last_runner, call.attempt_start_ms}, answer,
+        match == AnswerMatch::kOwn || match == AnswerMatch::kNotRun,
+        exchange.sent(), call.daemon.get());
     if (match != AnswerMatch::kSkipped) {
       co_return MatchedHead{std::move(head), match};
     }
@@ -446,8 +451,8 @@
   DirectDaemon& daemon = *call.daemon;
   RunnerView* view = &daemon.runners[runner];
   const Time now = Now();
-  if (now < view->cold_until) {
-    RecordColdSend(now, &view->cold_start_rate);
+  if (IsPaced(*view, now)) {
+    RecordPacedSend(now, &view->send_rate);
   }
   if (!call.headers.adapter.empty()) {
     daemon.used_adapters[runner].insert(call.headers.adapter);
@@ -455,6 +460,7 @@
   }
   call.last_runner = runner;
   call.attempt_incarnation = RunnerIncarnation(runner, view->entry.start_ms);
+  call.attempt_start_ms = view->entry.start_ms;
   call.attempt_has_begun = false;
   if (call.first_sent == Time()) {
     call.first_sent = now;
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -40,6 +40,7 @@
   int sends = 0;  // attempts that may have reached a backend server
   int runs = 0;   // attempts that a backend server may have run
   std::string attempt_incarnation;  // of the newest attempt's runner
+  int64_t attempt_start_ms = 0;     // of that runner
   bool attempt_has_begun = false;   // the newest attempt's answer has a body
   bool head_sent = false;           // the caller has the head of an answer
   EventSplitter events;             // of a stream that can be continued
--- a/rosemaryhook/direct_daemon.cc
+++ b/rosemaryhook/direct_daemon.cc
@@ -86,29 +86,6 @@
   return quorum;
 }
 
-void UpdateColdStartRates(DirectDaemon* daemon) {
-  const Time now = Now();
-  std::vector<std::string> hosts{daemon->settings.peers};
-  for (const auto& [session, host] : daemon->hosts) {
-    if (now - host.last_seen < PeerTimeout(daemon->host_addresses.size())) {
-      hosts.push_back(host.address);
-    }
-  }
-  for (auto& [id, view] : daemon->runners) {
-    if (view.cold_until <= now || !daemon->deployment) {
-      continue;
-    }
-    const auto service = daemon->deployment->services.find(view.entry.service);
-    const double cold_per_s = service == daemon->deployment->services.end()
-                                  ? 0
-                                  : service->second.cold_per_s;
-    const Time next = view.cold_start_rate.next;
-    view.cold_start_rate =
-        ColdStartRateFor(id, cold_per_s, hosts, daemon->settings.peers);
-    view.cold_start_rate.next = next;
-  }
-}
-
 awaitable<void> AwaitRunnerChange(DirectDaemon& daemon, Time deadline) {
   Signal changed(daemon.io.get_executor());
   const auto position =
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -169,6 +169,8 @@
   std::set<DirectCall*> running_calls;  // whose prompts have shared parts
 
   std::list<Signal*> runner_waiters;  // requests that wait for a runner
+  // Service -> urgencies of the requests that wait for limited runners.
+  std::map<std::string, std::multiset<int>> limited_waiters;
 };
 
 // Time between messages to all other hosts. Load pattern: the number of
@@ -196,9 +198,6 @@
 // of all hosts that may be running.
 Quorum FleetQuorum(const DirectDaemon& daemon, Time now);
 
-// Recomputes this host's share of the request rate of each cold backend server.
-void UpdateColdStartRates(DirectDaemon* daemon);
-
 // Waits until a runner changes, at most until `deadline`.
 awaitable<void> AwaitRunnerChange(DirectDaemon& daemon, Time deadline);
 void NotifyRunnerChange(DirectDaemon* daemon);
--- /dev/null
+++ b/rosemaryhook/direct_limits.cc
@@ -0,0 +1,208 @@
+// Invariant: hosts that see the same fleet choose the same senders for a
+// server, so together they keep to its limit without messages. What one host is
+// told reaches the others with the next broadcast, which spares the server a
+// request from each of them and tells those that send nothing when it ends.
+#include "rosemaryhook/direct_limits.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "rosemaryhook/log.h"
+
+namespace rosemaryhook {
+namespace {
+
+// How much later than it was sent a message may seem to be, by its age: a few
+// turns of two event loops. The end of a limit counts from before that.
+constexpr Duration kMessageDelay = std::chrono::milliseconds(100);
+
+// A host that reaches fewer than half of the known hosts is probably cut off;
+// the others send without it.
+constexpr size_t kReachableDivisor = 2;
+
+std::vector<std::string> ReachableHosts(const DirectDaemon& daemon, Time now) {
+  std::set<std::string> hosts{daemon.settings.peers};
+  for (const auto& [session, host] : daemon.hosts) {
+    if (!host.is_draining &&
+        now - host.last_seen < PeerTimeout(daemon.host_addresses.size())) {
+      hosts.insert(host.address);
+    }
+  }
+  return {hosts.begin(), hosts.end()};
+}
+
+// The hosts among which a named limit is divided.
+std::vector<std::string> LimitHosts(const DirectDaemon& daemon,
+                                    const std::vector<std::string>& reachable) {
+  if (reachable.size() * kReachableDivisor >= daemon.host_addresses.size()) {
+    return reachable;
+  }
+  std::set<std::string> hosts = daemon.host_addresses;
+  hosts.insert(daemon.settings.peers);
+  return {hosts.begin(), hosts.end()};
+}
+
+void UpdateRate(const std::string& id,
+                const std::vector<std::string>& reachable,
+                const std::vector<std::string>& limit_hosts,
+                Time now,
+                RunnerView* view,
+                const DirectDaemon& daemon) {
+  const double named = EffectiveLimit(view->named_limit, now);
+  view->is_limited = named < kNoLimit;
+  if (!IsPaced(*view, now)) {
+    view->send_rate = {};
+    return;
+  }
+  const std::string& self = daemon.settings.peers;
+  SendRate rate;
+  if (view->is_limited) {
+    rate = SendRateFor(id, named, limit_hosts, self);
+  }
+  if (now < view->cold_until) {
+    const auto service = daemon.deployment->services.find(view->entry.service);
+    const double cold_per_s = service == daemon.deployment->services.end()
+                                  ? 0
+                                  : service->second.cold_per_s;
+    const SendRate cold = SendRateFor(id, cold_per_s, reachable, self);
+    if (!view->is_limited || cold.per_s < rate.per_s) {
+      rate = cold;
+    }
+  }
+  UpdateSendRate(id, self, rate, now, &view->send_rate);
+}
+
+void LogLimit(const RunnerStart& runner,
+              const RunnerView& view,
+              const std::string& source,
+              Time now,
+              DirectDaemon* daemon) {
+  const NamedLimit& limit = view.named_limit;
+  const bool is_in_force = IsInForce(limit, now);
+  Log("limit", {{"runner", runner.id},
+                {"start", runner.start_ms},
+                {"state", is_in_force ? "named" : "ended"},
+                {"per_s", fmt::format("{:.2f}", limit.per_s.value_or(0))},
+                {"source", source},
+                {"age_ms", Millis(now - limit.as_of)},
+                {"part_per_s", fmt::format("{:.3f}", view.send_rate.per_s)}});
+  daemon->metrics.Count("limit_changes_total",
+                        is_in_force ? "state=\"named\"" : "state=\"ended\"");
+}
+
+RunnerView* FindStart(const RunnerStart& runner, DirectDaemon* daemon) {
+  const auto found = daemon->runners.find(runner.id);
+  return found == daemon->runners.end() ||
+                 found->second.entry.start_ms != runner.start_ms
+             ? nullptr
+             : &found->second;
+}
+
+}  // namespace
+
+void RecordLimitStatement(const RunnerStart& runner,
+                          const platform::RunnerAnswer& answer,
+                          bool is_own,
+                          Time sent,
+                          DirectDaemon* daemon) {
+  RunnerView* view = FindStart(runner, daemon);
+  if (view == nullptr || answer.has_unreadable_limit ||
+      (!answer.limit_per_s && (!is_own || !view->named_limit.per_s))) {
+    return;
+  }
+  const Time now = Now();
+  NamedLimit& limit = view->named_limit;
+  const Time before = limit.as_of;
+  const bool has_changed =
+      answer.limit_per_s ? RecordNamed(*answer.limit_per_s, sent, now, &limit)
+                         : RecordNotNamed(sent, now, &limit);
+  if (limit.as_of != before) {
+    view->told_at = limit.as_of;
+  }
+  if (has_changed) {
+    UpdateSendRates(daemon);
+    LogLimit(runner, *view, "answer", now, daemon);
+  }
+}
+
+void RecordControlAnswer(const RunnerStart& runner,
+                         const Result<HttpAnswer>& fetched,
+                         Time sent,
+                         DirectDaemon* daemon) {
+  if (const auto* answer = std::get_if<HttpAnswer>(&fetched)) {
+    RecordLimitStatement(
+        runner, platform::ParseRunnerAnswer({answer->status, answer->headers}),
+        true, sent, daemon);
+  }
+}
+
+void MergePeerLimits(const PeerMessage& message,
+                     Time now,
+                     DirectDaemon* daemon) {
+  for (const auto& [id, limit] : message.limits) {
+    const RunnerStart runner{id, limit.start_ms};
+    RunnerView* view = FindStart(runner, daemon);
+    const Time as_of =
+        now - limit.age - (limit.per_s ? Duration::zero() : kMessageDelay);
+    if (view != nullptr &&
+        MergeNamedLimit(limit.per_s, as_of, now, &view->named_limit)) {
+      UpdateSendRates(daemon);
+      LogLimit(runner, *view, message.address, now, daemon);
+    }
+  }
+}
+
+void ScopedLimitedWait::Begin() {
+  if (!std::exchange(is_waiting_, true)) {
+    daemon_->limited_waiters[service_].insert(urgency_);
+  }
+}
+
+void ScopedLimitedWait::End() {
+  if (!std::exchange(is_waiting_, false)) {
+    return;
+  }
+  auto& waiters = daemon_->limited_waiters[service_];
+  waiters.erase(waiters.find(urgency_));
+  if (waiters.empty()) {
+    daemon_->limited_waiters.erase(service_);
+  }
+}
+
+int ScopedLimitedWait::CountAhead() const {
+  const auto found = daemon_->limited_waiters.find(service_);
+  if (found == daemon_->limited_waiters.end()) {
+    return 0;
+  }
+  const std::multiset<int>& waiters = found->second;
+  const auto end = is_waiting_ ? waiters.lower_bound(urgency_)
+                               : waiters.upper_bound(urgency_);
+  return static_cast<int>(std::distance(waiters.begin(), end));
+}
+
+Time ExpectedAllowance(const RunnerChoice& choice, int ahead) {
+  if (choice.allowance_per_s <= 0) {
+    return Time::max();
+  }
+  const Duration wait(
+      static_cast<int64_t>(1e6 * ahead / choice.allowance_per_s));
+  return choice.allowance_at + wait;
+}
+
+void UpdateSendRates(DirectDaemon* daemon) {
+  if (!daemon->deployment) {
+    return;
+  }
+  const Time now = Now();
+  const std::vector<std::string> reachable = ReachableHosts(*daemon, now);
+  const std::vector<std::string> limit_hosts = LimitHosts(*daemon, reachable);
+  for (auto& [id, view] : daemon->runners) {
+    if (now < view.cold_until || view.named_limit.per_s) {
+      UpdateRate(id, reachable, limit_hosts, now, &view, *daemon);
+    }
+  }
+}
+
+}  // namespace rosemaryhook
--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -7,6 +7,7 @@
 
 #include "platform/configuration_codec.h"
 #include "platform/runner_codec.h"
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/log.h"
 
@@ -303,7 +304,7 @@
   }
   daemon->runners_known = true;
   ExpireRunners(now, daemon);
-  UpdateColdStartRates(daemon);
+  UpdateSendRates(daemon);
   NotifyRunnerChange(daemon);
 }
 
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -3,6 +3,8 @@
 // clock just before the first byte of an order is sent.
 #include "rosemaryhook/direct_orders.h"
 
+#include "rosemaryhook/direct_limits.h"
+
 #include <algorithm>
 
 #include "platform/header_codec.h"
@@ -119,7 +121,9 @@
   call.method = "GET";
   call.target = platform::kReportTarget;
   const int64_t start_ms = view->entry.start_ms;
+  const Time sent = Now();
   auto fetched = co_await Fetch(&daemon->control_pool, std::move(call));
+  RecordControlAnswer({runner, start_ms}, fetched, sent, daemon.get());
   const Time now = Now();
   owned->plan.report_due = now + kReportRetryDelay;
   if (!IsOk(fetched)) {
@@ -194,7 +198,10 @@
   order.fence = FenceOf(daemon->ownership, runner);
   order.holder = daemon->settings.host;
   call.body = platform::EncodeOrder(order);
+  const int64_t start_ms = view->entry.start_ms;
+  const Time sent = Now();
   auto fetched = co_await Fetch(&daemon->control_pool, std::move(call));
+  RecordControlAnswer({runner, start_ms}, fetched, sent, daemon.get());
   const OrderResult result = ToOrderResult(fetched);
   const auto* answer = std::get_if<HttpAnswer>(&fetched);
   Log("order", {{"runner", runner},
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_store.h"
@@ -72,6 +73,7 @@
   while (!daemon->is_stopping) {
     co_await Sleep(BroadcastInterval(daemon->host_addresses.size()));
     ExpirePeers(Now(), daemon.get());
+    UpdateSendRates(daemon.get());
   }
 }
 
@@ -211,6 +213,7 @@
   for (const SentRequest& sent : message.sent) {
     RecordAdapterSent(sent, now, daemon);
   }
+  MergePeerLimits(message, now, daemon);
   MergeSuspects(message.suspects, now, &daemon->suspects);
   if (!message.parts.empty()) {
     MergeParts(message.parts, now, &daemon->prompt_suspects,
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -11,6 +11,7 @@
 #include "rosemaryhook/direct_admission.h"
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_call.h"
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/log.h"
@@ -41,6 +42,10 @@
 // while a refusal leaves the caller time to retry.
 constexpr int kMaxWaitPercent = 60;
 
+// Retry-After where only other hosts send to the runners that could serve a
+// request. The caller's next attempt mostly reaches another host.
+constexpr Duration kLimitedRetryAfter = std::chrono::seconds(1);
+
 // Milliseconds from the arrival to `time`, -1 if `time` is not set.
 int64_t MillisSinceArrival(const DirectCall& call, Time time) {
   return time == Time() ? -1 : Millis(time - call.arrived);
@@ -253,6 +258,39 @@
                   call.arrived + call.route->objective - first_token - now);
 }
 
+bool HasOnlyLimitedHolders(const RunnerChoice& choice) {
+  return choice.is_resident &&
+         std::all_of(choice.holders.begin(), choice.holders.end(),
+                     [](const RunnerView* view) { return view->is_limited; });
+}
+
+// Whether nothing but the limits that runners have named holds a request back.
+bool HasOnlyUsedUpLimits(const RunnerChoice& choice) {
+  return choice.runner == nullptr && choice.is_rate_limited &&
+         choice.are_all_limited;
+}
+
+// Whether the request is to be refused at once, since the limits that its
+// runners have named leave no room for it before `wait_until`. Load pattern:
+// all runners of a service are in need, and more requests come than they take.
+bool ExceedsNamedLimits(const RunnerChoice& choice,
+                        const ScopedLimitedWait& limited_wait,
+                        Time wait_until,
+                        DirectCall* call) {
+  if (!HasOnlyUsedUpLimits(choice)) {
+    return false;
+  }
+  const Time expected = ExpectedAllowance(choice, limited_wait.CountAhead());
+  if (expected < wait_until) {
+    return false;
+  }
+  call->no_runner_reason = "limit_of_runners";
+  call->no_runner_retry_after =
+      expected == Time::max() ? kLimitedRetryAfter
+                              : std::max(kMinRetryAfter, expected - Now());
+  return true;
+}
+
 // Waits for a runner that holds the adapter and returns its id, empty if no
 // runner can serve the request in time.
 awaitable<std::string> PickRunner(DirectCall& call) {
@@ -261,6 +299,7 @@
       call.arrived + FirstByteTimeout(call) * kMaxWaitPercent / 100;
   bool is_waiting = false;
   ScopedWaitingLoad waiting_load(call.headers.prompt_tokens);
+  ScopedLimitedWait limited_wait(call.service->name, call.urgency, &daemon);
   while (!call.is_disconnected) {
     const Time now = Now();
     if (CheckBlockedParts(&call)) {
@@ -269,7 +308,9 @@
     waiting_load.MoveTo(nullptr);
     const WantedRunner wanted = MakeWantedRunner(call);
     const RunnerChoice choice = ChooseRunner(daemon.runners, wanted, now);
-    if (choice.runner != nullptr && choice.is_resident) {
+    const bool must_wait =
+        HasOnlyLimitedHolders(choice) && limited_wait.CountAhead() > 0;
+    if (choice.runner != nullptr && choice.is_resident && !must_wait) {
       if (choice.copy_to != nullptr) {
         RequestAdapterLoad(wanted.adapter + " copy", choice.copy_to->entry.id,
                            wanted, Duration::zero(), &daemon);
@@ -282,12 +323,18 @@
       LogRoute(call, least, choice);
       co_return least;
     }
+    if (ExceedsNamedLimits(choice, limited_wait, wait_until, &call)) {
+      co_return std::string();
+    }
     if (choice.usable == 0 || now >= wait_until) {
       call.no_runner_reason =
           choice.usable == 0 ? "no_runner" : "no_runner_in_time";
       co_return std::string();
     }
-    if (choice.runner != nullptr) {
+    if (must_wait || HasOnlyUsedUpLimits(choice)) {
+      limited_wait.Begin();
+    }
+    if (choice.runner != nullptr && !choice.is_resident) {
       RequestAdapterLoad(wanted.adapter, choice.runner->entry.id, wanted,
                          TimeToLoad(call, *choice.runner, now), &daemon);
       AssignWaitingLoad(wanted, &daemon, &waiting_load);
@@ -295,8 +342,9 @@
     if (!std::exchange(is_waiting, true)) {
       LogWait(call, choice);
     }
-    const Duration pause =
-        choice.is_rate_limited ? kRateLimitedPickInterval : kPickInterval;
+    const Duration pause = choice.is_rate_limited || must_wait
+                               ? kRateLimitedPickInterval
+                               : kPickInterval;
     co_await AwaitRunnerChange(daemon, std::min(now + pause, wait_until));
   }
   co_return std::string();
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -208,6 +208,9 @@
   // Whether the request was sent on a reused connection.
   bool reused() const { return reused_; }
 
+  // When the request was sent; Time() before that.
+  Time sent() const { return sent_; }
+
   // Answers that the connection had delivered to earlier requests.
   int earlier_answers() const { return earlier_answers_; }
 
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -93,6 +93,29 @@
   return updates;
 }
 
+// A limit that has ended is written as a negative number.
+Json LimitsToJson(const std::map<std::string, PeerLimit>& limits) {
+  Json json = Json::object();
+  for (const auto& [runner, limit] : limits) {
+    json[runner] = Json::array(
+        {limit.start_ms, limit.per_s.value_or(-1), Millis(limit.age)});
+  }
+  return json;
+}
+
+std::map<std::string, PeerLimit> LimitsFromJson(const Json& json) {
+  std::map<std::string, PeerLimit> limits;
+  for (const auto& [runner, item] : json.items()) {
+    PeerLimit limit{item.at(0).get<int64_t>()};
+    if (const auto per_s = item.at(1).get<double>(); per_s >= 0) {
+      limit.per_s = per_s;
+    }
+    limit.age = std::chrono::milliseconds(item.at(2).get<int64_t>());
+    limits[runner] = limit;
+  }
+  return limits;
+}
+
 PeerMessage DecodeMessage(const Json& json) {
   PeerMessage message;
   message.session = json.at("s").get<std::string>();
@@ -114,6 +137,7 @@
   for (const Json& item : json.value("w", Json::array())) {
     message.load_requests.push_back(LoadRequestFromJson(item));
   }
+  message.limits = LimitsFromJson(json.value("m", Json::object()));
   message.suspects = json.value("x", Json::object());
   message.parts = json.value("k", Json::object());
   if (const auto probe = json.find("p"); probe != json.end()) {
@@ -161,6 +185,7 @@
   add("u", message.used);
   add("o", message.owned);
   add("w", LoadRequestsToJson(message.load_requests));
+  add("m", LimitsToJson(message.limits));
   add("x", message.suspects);
   add("k", message.parts);
   if (message.probe.id != 0) {
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -55,6 +56,13 @@
   double prompt_tokens = 0;
 };
 
+// What a backend server told a host of its limit (named_limit.h).
+struct PeerLimit {
+  int64_t start_ms = 0;         // of the server
+  std::optional<double> per_s;  // empty if it has ended
+  Duration age{};               // of the statement
+};
+
 struct PeerMessage {
   std::string session;
   std::string address;  // ip:port for datagrams
@@ -76,6 +84,7 @@
   int64_t answered_probe = 0;  // id of the receiver's probe; 0 if none
   std::vector<SentRequest> sent;
   std::vector<ListUpdate> updates;
+  std::map<std::string, PeerLimit> limits;  // by runner
   Json suspects = Json::object();
   Json parts = Json::object();  // of prompts (prompt_suspects.h)
 };
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -103,6 +103,15 @@
   return now < view.cold_until;
 }
 
+void RecordUsedUp(const RunnerView& view, RunnerChoice* choice) {
+  choice->is_rate_limited = true;
+  choice->are_all_limited = choice->are_all_limited && view.is_limited;
+  if (view.send_rate.per_s > 0) {
+    choice->allowance_at = std::min(choice->allowance_at, view.send_rate.next);
+    choice->allowance_per_s += view.send_rate.per_s;
+  }
+}
+
 // Usable backend servers; those that recently could not be reached only if
 // there is no other.
 std::vector<Candidate> Candidates(const RunnerViews& runners,
@@ -118,8 +127,8 @@
       continue;
     }
     ++choice->usable;
-    if (IsCold(view, now) && !MaySendCold(view.cold_start_rate, now)) {
-      choice->is_rate_limited = true;
+    if (IsPaced(view, now) && !HasSendAllowance(view.send_rate, now)) {
+      RecordUsedUp(view, choice);
       continue;
     }
     auto& list = now < view.health.avoid_until ? avoided : good;
@@ -179,6 +188,12 @@
                   [](const Candidate* c) { return !c->is_outdated; })) {
     std::erase_if(loadable, [](const Candidate* c) { return c->is_outdated; });
   }
+  // A server in need takes no further adapter while another can.
+  if (std::any_of(loadable.begin(), loadable.end(),
+                  [](const Candidate* c) { return !c->view->is_limited; })) {
+    std::erase_if(loadable,
+                  [](const Candidate* c) { return c->view->is_limited; });
+  }
   std::vector<const Candidate*> homes = loadable;
   const size_t count = std::min(kMaxHomes, homes.size());
   std::partial_sort(homes.begin(), homes.begin() + count, homes.end(),
@@ -271,6 +286,10 @@
            wanted.zones_out->contains(view.entry.zone));
 }
 
+bool IsPaced(const RunnerView& view, Time now) {
+  return IsCold(view, now) || view.is_limited;
+}
+
 RunnerChoice ChooseRunner(const RunnerViews& runners,
                           const WantedRunner& wanted,
                           Time now) {
@@ -358,8 +377,8 @@
     const auto view = runners.find(id);
     if (view == runners.end() || !IsUsable(view->second, wanted, now) ||
         !IsHeld(view->second, wanted) ||
-        (IsCold(view->second, now) &&
-         !MaySendCold(view->second.cold_start_rate, now))) {
+        (IsPaced(view->second, now) &&
+         !HasSendAllowance(view->second.send_rate, now))) {
       continue;
     }
     const double score = Score(view->second, wanted, now);
@@ -383,7 +402,7 @@
     }
     if (view.held.contains(wanted.adapter)) {
       ++holders;
-    } else if (view.is_owner_reachable && !IsCold(view, now)) {
+    } else if (view.is_owner_reachable && !IsPaced(view, now)) {
       homes.emplace_back(RendezvousWeight(wanted.adapter, id), id);
     }
   }
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -24,10 +24,11 @@
 #include <string>
 #include <vector>
 
+#include "rosemaryhook/named_limit.h"
 #include "rosemaryhook/runner_entry.h"
 #include "rosemaryhook/runner_health.h"
+#include "rosemaryhook/send_rate.h"
 #include "rosemaryhook/time.h"
-#include "rosemaryhook/warm_up.h"
 
 namespace rosemaryhook {
 
@@ -72,7 +73,10 @@
   FirstTokenLatency first_token_latency;
   RecentPrompts recent_prompts;
   Time cold_until;
-  ColdStartRate cold_start_rate;
+  NamedLimit named_limit;
+  Time told_at;             // `named_limit.as_of` of its newest own answer
+  bool is_limited = false;  // by `named_limit`, also after its end
+  SendRate send_rate;       // while it is cold or limited
   HeldAdapters held;
   bool is_owner_reachable = false;  // a host can order loads there now
   std::string owner_session;        // of that host; empty if it is this host
@@ -123,6 +127,9 @@
 // Whether new requests may be sent to the backend server of `view`.
 bool IsUsable(const RunnerView& view, const WantedRunner& wanted, Time now);
 
+// Whether requests to the backend server keep to `send_rate`.
+bool IsPaced(const RunnerView& view, Time now);
+
 struct RunnerChoice {
   const RunnerView* runner = nullptr;
   bool is_resident = false;
@@ -133,8 +140,14 @@
   std::vector<const RunnerView*> holders;
   const char* why = "";
   int usable = 0;
-  // Only cold runners are left, and their rate limit is used up.
+  // The send rates of some runners are used up.
   bool is_rate_limited = false;
+  // Of these runners: the earliest next allowance (Time::max() if this host has
+  // no part of their rates), the sum of its rates, and whether all of them are
+  // limited by what they named themselves.
+  Time allowance_at = Time::max();
+  double allowance_per_s = 0;
+  bool are_all_limited = true;
 };
 
 using RunnerViews = std::map<std::string, RunnerView>;
--- a/rosemaryhook/testing/direct_state_test.cc
+++ b/rosemaryhook/testing/direct_state_test.cc
@@ -521,6 +521,25 @@
   BOOST_TEST(pollers(At(60)).size() == 8U);
 }
 
+// A limit that one host was told holds at all hosts, for one lifetime of the
+// backend server.
+BOOST_AUTO_TEST_CASE(a_limit_told_to_another_host_ends_with_the_lifetime) {
+  ApplyOperatorRow(Configuration(1), At(1), &daemon);
+  ApplyRunnerRow(Entry("i-1"), At(1), Time(), &daemon);
+  const auto tell = [this](int64_t number, int64_t start_ms) {
+    PeerMessage message = From("peer", number);
+    message.limits["i-1"] = {start_ms, 0.5, std::chrono::milliseconds(20)};
+    const auto decoded = ParsePeerMessage(EncodePeerMessage(message));
+    ApplyPeerMessage(std::get<PeerMessage>(decoded), Now(), &daemon);
+  };
+  tell(1, 2);
+  BOOST_TEST(!daemon.runners.at("i-1").is_limited);
+  tell(2, 1);
+  BOOST_TEST(daemon.runners.at("i-1").is_limited);
+  ApplyRunnerRow(Entry("i-1", "ready", 2), At(2), Time(), &daemon);
+  BOOST_TEST(!daemon.runners.at("i-1").is_limited);
+}
+
 // Guards against a request that is repeated by the kind that its route had when
 // it arrived, though operators have changed it meanwhile.
 BOOST_AUTO_TEST_CASE(a_changed_kind_binds_requests_in_progress) {
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -369,6 +369,38 @@
   BOOST_TEST(ParseRunnerAnswer(two_ids).request_id == "a,b");
 }
 
+// A limit that cannot be read says nothing: it neither names nor ends one.
+BOOST_AUTO_TEST_CASE(limits_in_answers_are_decoded) {
+  struct Case {
+    std::vector<std::string> values;
+    std::optional<double> limit;
+    bool is_unreadable;
+  };
+  const std::vector<Case> cases{{{}, std::nullopt, false},
+                                {{"1.1"}, 1.1, false},
+                                {{" 6 "}, 6.0, false},
+                                {{"0"}, 0.0, false},
+                                {{"1e3"}, 1000.0, false},
+                                {{"-1"}, std::nullopt, true},
+                                {{"nan"}, std::nullopt, true},
+                                {{"inf"}, std::nullopt, true},
+                                {{"1e300"}, std::nullopt, true},
+                                {{"fast"}, std::nullopt, true},
+                                {{"1.1, 2"}, std::nullopt, true},
+                                {{"1", "2"}, std::nullopt, true},
+                                {{""}, std::nullopt, true}};
+  for (const Case& c : cases) {
+    HttpHead head{200, {}};
+    for (const std::string& value : c.values) {
+      head.headers.emplace_back("server-limit", value);
+    }
+    const RunnerAnswer answer = ParseRunnerAnswer(head);
+    const std::string name = c.values.empty() ? "none" : c.values.front();
+    BOOST_TEST((answer.limit_per_s == c.limit), name);
+    BOOST_TEST(answer.has_unreadable_limit == c.is_unreadable, name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(rows_are_decoded) {
   const auto parsed = ParseRows(
       R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4},)"
--- a/rosemaryhook/testing/runner_choice_test.cc
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -178,7 +178,7 @@
   BOOST_TEST(choice.runner == nullptr);
   BOOST_TEST(choice.is_rate_limited);
   BOOST_TEST(choice.usable == 1);
-  views["i0"].cold_start_rate = {10, At(1)};
+  views["i0"].send_rate = {10, At(1)};
   BOOST_TEST(ChooseRunner(views, Wanted(""), At(1)).runner != nullptr);
   BOOST_TEST(ChooseRunner(Views(1), Wanted(""), At(11)).runner != nullptr);
 }
