Let requests wait for limited servers in order, and only if they get a place

Cause, found by a test of a service all of whose servers name limits: a request that waited counted only the more urgent ones before it, so requests of one urgency were served in no order, and some waited 2.4 s and were refused (15 of some 280 refusals came later than a second). Requests now have places, by urgency and then by arrival; one is refused on arrival if the requests before it use up what the limits allow in the time that it may wait.

--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -86,6 +86,10 @@
   bool has_crashed = false;
 };
 
+// The place of a request that waits for limited runners: its urgency and its
+// number, in order of arrival.
+using LimitedPlace = std::pair<int, int64_t>;
+
 struct DirectCall;
 
 struct DirectDaemon {
@@ -171,8 +175,9 @@
   std::set<DirectCall*> running_calls;
 
   std::list<Signal*> runner_waiters;  // requests that wait for a runner
-  // Service -> urgencies of the requests that wait for limited runners.
-  std::map<std::string, std::multiset<int>> limited_waiters;
+  // Service -> requests that wait for limited runners.
+  std::map<std::string, std::set<LimitedPlace>> limited_waiters;
+  int64_t limited_waiter_number = 0;
 };
 
 // Time between messages to all other hosts. Load pattern: the number of
--- a/rosemaryhook/direct_limits.cc
+++ b/rosemaryhook/direct_limits.cc
@@ -7,7 +7,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
-#include <utility>
+#include <limits>
 
 #include "rosemaryhook/log.h"
 
@@ -155,17 +155,18 @@
 }
 
 void ScopedLimitedWait::Begin() {
-  if (!std::exchange(is_waiting_, true)) {
-    daemon_->limited_waiters[service_].insert(urgency_);
+  if (!place_) {
+    place_ = {urgency_, ++daemon_->limited_waiter_number};
+    daemon_->limited_waiters[service_].insert(*place_);
   }
 }
 
-void ScopedLimitedWait::End() {
-  if (!std::exchange(is_waiting_, false)) {
+ScopedLimitedWait::~ScopedLimitedWait() {
+  if (!place_) {
     return;
   }
   auto& waiters = daemon_->limited_waiters[service_];
-  waiters.erase(waiters.find(urgency_));
+  waiters.erase(*place_);
   if (waiters.empty()) {
     daemon_->limited_waiters.erase(service_);
   }
@@ -176,18 +177,19 @@
   if (found == daemon_->limited_waiters.end()) {
     return 0;
   }
-  const std::multiset<int>& waiters = found->second;
-  const auto end = is_waiting_ ? waiters.lower_bound(urgency_)
-                               : waiters.upper_bound(urgency_);
-  return static_cast<int>(std::distance(waiters.begin(), end));
+  const LimitedPlace last{urgency_, std::numeric_limits<int64_t>::max()};
+  const auto end = found->second.lower_bound(place_.value_or(last));
+  return static_cast<int>(std::distance(found->second.begin(), end));
 }
 
 Time ExpectedAllowance(const RunnerChoice& choice, int ahead) {
   if (choice.allowance_per_s <= 0) {
     return Time::max();
   }
+  // The runners' next allowances differ by up to one interval.
+  const int allowances = ahead > 0 ? ahead + 1 : 0;
   const Duration wait(
-      static_cast<int64_t>(1e6 * ahead / choice.allowance_per_s));
+      static_cast<int64_t>(1e6 * allowances / choice.allowance_per_s));
   return choice.allowance_at + wait;
 }
 
--- a/rosemaryhook/direct_limits.h
+++ b/rosemaryhook/direct_limits.h
@@ -3,6 +3,8 @@
 #ifndef ROSEMARYHOOK_DIRECT_LIMITS_H_
 #define ROSEMARYHOOK_DIRECT_LIMITS_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "platform/header_codec.h"
@@ -43,12 +45,14 @@
  public:
   ScopedLimitedWait(std::string service, int urgency, DirectDaemon* daemon)
       : service_(std::move(service)), urgency_(urgency), daemon_(daemon) {}
-  ~ScopedLimitedWait() { End(); }
+  ~ScopedLimitedWait();
   ScopedLimitedWait(const ScopedLimitedWait&) = delete;
   ScopedLimitedWait& operator=(const ScopedLimitedWait&) = delete;
 
+  // Takes a place behind those that wait.
   void Begin();
-  void End();
+
+  bool is_waiting() const { return place_.has_value(); }
 
   // Requests that go first: the more urgent ones, and those of the same urgency
   // that waited before this one.
@@ -58,7 +62,7 @@
   std::string service_;
   int urgency_;
   DirectDaemon* daemon_;
-  bool is_waiting_ = false;
+  std::optional<LimitedPlace> place_;  // while it waits
 };
 
 // When a request with `ahead` others before it may expect an allowance, by the
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -280,6 +280,9 @@
   if (!HasOnlyUsedUpLimits(choice)) {
     return false;
   }
+  if (limited_wait.is_waiting() && choice.allowance_per_s > 0) {
+    return false;
+  }
   const Time expected = ExpectedAllowance(choice, limited_wait.CountAhead());
   if (expected < wait_until) {
     return false;
--- a/rosemaryhook/testing/named_limits_process_test.cc
+++ b/rosemaryhook/testing/named_limits_process_test.cc
@@ -161,6 +161,68 @@
   }
 }
 
+// Load pattern: all servers of a service are in need. What exceeds their limits
+// is refused at once, with the time at which there is room, and does not wait
+// for its deadline.
+BOOST_AUTO_TEST_CASE(requests_above_all_limits_are_refused_at_once) {
+  constexpr double kLimit = 2;
+  constexpr auto kDeadline = std::chrono::seconds(4);
+  Site site({.port = 20600, .hosts = 1, .runners = 0, .services = 0});
+  std::vector<ArrivalLog> arrivals(2);
+  const auto serve = [&](int server) {
+    return [&arrivals, server](const ScriptedRequest& request) {
+      arrivals[server].Add(std::string(request[kHostHeader]));
+      return Serve(request, "Server-Limit: 2\r\n");
+    };
+  };
+  ScriptedServer first(site.Backend(0), serve(0));
+  ScriptedServer second(site.Backend(1), serve(1));
+  for (int i = 0; i < 2; ++i) {
+    site.Set("servers", "i-" + std::to_string(i),
+             ServerEntry("booking", site.Backend(i)));
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const Time end = Now() + std::chrono::seconds(8);
+  std::atomic<int> served = 0;
+  std::atomic<int> refused = 0;
+  std::atomic<int> held_back = 0;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      for (int i = 0; Now() < end; ++i) {
+        const Time begin = Now();
+        const Reply reply =
+            site.Send(0, "/book/1",
+                      {{"X-Attempt-Id", "above-" + std::to_string(caller) +
+                                            "-" + std::to_string(i)},
+                       {kHostHeader, "0"}},
+                      "pig");
+        if (reply.status == 200) {
+          ++served;
+          continue;
+        }
+        ++refused;
+        const double retry_after =
+            std::atof(reply.Header("Retry-After").c_str());
+        held_back += reply.status != 503 || retry_after <= 0 ||
+                             Now() - begin > kDeadline / 4
+                         ? 1
+                         : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(served >= 10);
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(held_back == 0);
+  for (const ArrivalLog& log : arrivals) {
+    BOOST_TEST(log.WorstWindow() <= AllowedArrivals(kLimit));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -89,6 +89,7 @@
   run_once/no_mixture_of_answers_runs_a_request_twice
   run_once/a_runner_that_broke_off_gets_no_more_of_the_body
   named_limits/all_hosts_together_keep_to_a_named_limit
+  named_limits/requests_above_all_limits_are_refused_at_once
   planned_stop/a_request_completed_late_is_answered_or_refused
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
   cut_heads/a_head_that_is_cut_is_no_answer)
