--- a/rosemaryhook/direct_limits.cc
+++ b/rosemaryhook/direct_limits.cc
@@ -183,14 +183,18 @@
 }
 
 Time ExpectedAllowance(const RunnerChoice& choice, int ahead) {
-  if (choice.allowance_per_s <= 0) {
+  double per_s = choice.allowance_per_s;
+  Time earliest = choice.allowance_at;
+  for (const RunnerView* holder : choice.holders) {
+    per_s += holder->send_rate.per_s;
+    earliest = std::min(earliest, holder->send_rate.next);
+  }
+  if (per_s <= 0) {
     return Time::max();
   }
   // The runners' next allowances differ by up to one interval.
   const int allowances = ahead > 0 ? ahead + 1 : 0;
-  const Duration wait(
-      static_cast<int64_t>(1e6 * allowances / choice.allowance_per_s));
-  return choice.allowance_at + wait;
+  return earliest + Duration(static_cast<int64_t>(1e6 * allowances / per_s));
 }
 
 void UpdateSendRates(DirectDaemon* daemon) {
--- a/rosemaryhook/direct_limits.h
+++ b/rosemaryhook/direct_limits.h
@@ -66,8 +66,8 @@
 };
 
 // When a request with `ahead` others before it may expect an allowance, by the
-// runners of `choice` whose rates are used up. Time::max() if this host has no
-// part of their rates.
+// limited runners of `choice`. Time::max() if this host has no part of their
+// rates.
 Time ExpectedAllowance(const RunnerChoice& choice, int ahead);
 
 // Recomputes this host's part of the rate of each cold or limited backend
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -277,14 +277,11 @@
                         const ScopedLimitedWait& limited_wait,
                         Time wait_until,
                         DirectCall* call) {
-  if (!HasOnlyUsedUpLimits(choice)) {
-    return false;
-  }
-  if (limited_wait.is_waiting() && choice.allowance_per_s > 0) {
-    return false;
-  }
   const Time expected = ExpectedAllowance(choice, limited_wait.CountAhead());
-  if (expected < wait_until) {
+  // A request that has a place keeps it while there is a rate at all.
+  const bool has_room = limited_wait.is_waiting() ? expected < Time::max()
+                                                  : expected < wait_until;
+  if (has_room) {
     return false;
   }
   call->no_runner_reason = "limit_of_runners";
@@ -330,7 +327,9 @@
       LogRoute(call, least, choice);
       co_return least;
     }
-    if (ExceedsNamedLimits(choice, limited_wait, wait_until, &call)) {
+    const bool waits_for_limits = must_wait || HasOnlyUsedUpLimits(choice);
+    if (waits_for_limits &&
+        ExceedsNamedLimits(choice, limited_wait, wait_until, &call)) {
       co_return std::string();
     }
     if (choice.usable == 0 || now >= wait_until) {
@@ -338,7 +337,7 @@
           choice.usable == 0 ? "no_runner" : "no_runner_in_time";
       co_return std::string();
     }
-    if (must_wait || HasOnlyUsedUpLimits(choice)) {
+    if (waits_for_limits) {
       limited_wait.Begin();
     }
     if (choice.runner != nullptr && !choice.is_resident) {
