Refuse for named limits only if nothing else could serve the request

Found by reading: a request whose adapter waits for an owner to be heard was refused at once if any other runner's limit was used up. The limits hold a request back only if those of all usable runners are used up, which the choice now counts. runner_choice/limited_runners_are_used_at_their_rates has the cases. A wait for limits is logged as such, not as one for cold runners.

--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -178,7 +178,8 @@
 
 // Logs why a request waits; called when the wait begins.
 void LogWait(const DirectCall& call, const RunnerChoice& choice) {
-  const char* reason = choice.is_rate_limited     ? "cold_pace"
+  const char* reason = choice.limits_used_up > 0  ? "named_limit"
+                       : choice.is_rate_limited   ? "cold_pace"
                        : choice.runner == nullptr ? "no_owner_heard"
                                                   : "adapter_not_held";
   Log("wait",
@@ -266,8 +267,7 @@
 
 // Whether nothing but the limits that runners have named holds a request back.
 bool HasOnlyUsedUpLimits(const RunnerChoice& choice) {
-  return choice.runner == nullptr && choice.is_rate_limited &&
-         choice.are_all_limited;
+  return choice.usable > 0 && choice.limits_used_up == choice.usable;
 }
 
 // Whether the request is to be refused at once, since the limits that its
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -105,7 +105,10 @@
 
 void RecordUsedUp(const RunnerView& view, RunnerChoice* choice) {
   choice->is_rate_limited = true;
-  choice->are_all_limited = choice->are_all_limited && view.is_limited;
+  if (!view.is_limited) {
+    return;
+  }
+  ++choice->limits_used_up;
   if (view.send_rate.per_s > 0) {
     choice->allowance_at = std::min(choice->allowance_at, view.send_rate.next);
     choice->allowance_per_s += view.send_rate.per_s;
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -142,12 +142,12 @@
   int usable = 0;
   // The send rates of some runners are used up.
   bool is_rate_limited = false;
-  // Of these runners: the earliest next allowance (Time::max() if this host has
-  // no part of their rates), the sum of its rates, and whether all of them are
-  // limited by what they named themselves.
+  // Of these, those that are limited by what they named themselves: their
+  // number, the earliest next allowance (Time::max() if this host has no part
+  // of their rates) and the sum of its parts.
+  int limits_used_up = 0;
   Time allowance_at = Time::max();
   double allowance_per_s = 0;
-  bool are_all_limited = true;
 };
 
 using RunnerViews = std::map<std::string, RunnerView>;
--- a/rosemaryhook/testing/runner_choice_test.cc
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -183,6 +183,33 @@
   BOOST_TEST(ChooseRunner(Views(1), Wanted(""), At(11)).runner != nullptr);
 }
 
+// A limited runner is passed over for others, and is no home for adapters. Only
+// if every usable runner's limit is used up is it the limits that hold a
+// request back.
+BOOST_AUTO_TEST_CASE(limited_runners_are_used_at_their_rates) {
+  RunnerViews views = Views(2);
+  views["i0"].is_limited = true;
+  views["i0"].held["m/a1"] = 1;
+  RunnerChoice choice = ChooseRunner(views, Wanted("m/a1"), At(1));
+  BOOST_TEST(choice.runner->entry.id == "i1");
+  BOOST_TEST(!choice.is_resident);
+  BOOST_TEST(choice.limits_used_up == 1);
+  BOOST_TEST((choice.allowance_at == Time::max()));
+  views["i0"].send_rate = {2, At(1)};
+  choice = ChooseRunner(views, Wanted("m/a1"), At(1));
+  BOOST_TEST(choice.runner->entry.id == "i0");
+  BOOST_TEST(ChooseRunner(views, Wanted("m/a2"), At(1)).runner->entry.id ==
+             "i1");
+  views["i1"].is_limited = true;
+  views["i1"].send_rate = {1, At(3)};
+  views["i0"].send_rate = {2, At(2)};
+  choice = ChooseRunner(views, Wanted("m/a1"), At(1));
+  BOOST_TEST(choice.runner == nullptr);
+  BOOST_TEST(choice.limits_used_up == choice.usable);
+  BOOST_TEST((choice.allowance_at == At(2)));
+  BOOST_TEST(choice.allowance_per_s == 3);
+}
+
 // One adapter takes a fifth of all requests, the others follow a Zipf law, and
 // prompts are read at the engines' speed. With a fixed home for each adapter,
 // requests for the popular one would queue on one runner.
