--- a/rosemaryhook/testing/named_limits_process_test.cc
+++ b/rosemaryhook/testing/named_limits_process_test.cc
@@ -98,6 +98,7 @@
   std::atomic<int> served = 0;
   const Time end = Now() + kLoadTime;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; Now() < end; ++i) {
@@ -187,6 +188,7 @@
   std::atomic<int> refused = 0;
   std::atomic<int> held_back = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int i = 0; Now() < end; ++i) {
--- a/rosemaryhook/testing/run_once_process_test.cc
+++ b/rosemaryhook/testing/run_once_process_test.cc
@@ -198,6 +198,7 @@
     }
   };
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back(call, i);
   }
