Close inherited files in the processes that tests start

Cause: the soak's process contains the fault proxy, and its sockets had no close-on-exec flag. Each host that it restarted inherited the open connections between the other hosts and the backend servers. When the proxy reset a link, close() only dropped its own reference: no reset was sent, and nobody read the connection any more. In the failed run host 1 was started at 16.2 s, the link to backend server 0 was reset at 18.9 s while host 0 was paused (17.8 to 21.2 s), and a connection that host 0 had kept idle since before 17.8 s was reused at 37.1 s, shortly before its idle time of 20 s had passed.

Evidence: in a running soak three daemons held 60, 74 and 97 sockets of the soak's process.

Ruled out: load (all other requests were served meanwhile); a queued fault of the stand-ins (all were used up by 15 s); an unmatched or refused answer (both are answered before the deadline).

Change: posix_spawn closes all files above stderr. No check was touched. The daemons do not start processes and are not concerned.

--- a/rosemaryhook/testing/processes.cc
+++ b/rosemaryhook/testing/processes.cc
@@ -42,6 +42,8 @@
   constexpr int kFlags = O_WRONLY | O_CREAT | O_APPEND;
   posix_spawn_file_actions_addopen(&actions, 1, out.c_str(), kFlags, 0644);
   posix_spawn_file_actions_addopen(&actions, 2, err.c_str(), kFlags, 0644);
+  // The test's sockets must not stay open in the process.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> arguments;
   arguments.reserve(command.size() + 1);
   for (const std::string& argument : command) {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -23,7 +23,7 @@
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
   takeover odd_rows late_refusals broken_streams run_once
-  named_limits planned_stop cut_heads)
+  named_limits planned_stop cut_heads fault_proxy)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -92,7 +92,8 @@
   named_limits/requests_above_all_limits_are_refused_at_once
   planned_stop/a_request_completed_late_is_answered_or_refused
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
-  cut_heads/a_head_that_is_cut_is_no_answer)
+  cut_heads/a_head_that_is_cut_is_no_answer
+  fault_proxy/a_process_keeps_no_reset_connection_open)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
