Show that hosts send to servers whose answers say that they leave

Three hosts, five servers of which four mark their answers, each with another status. The list goes on saying that they are ready. Later than 2 s after a host had been told, 4,070 (200), 4,818 (503, not run) and 4,969 (404) requests reached them; none reached the one that answers 500, which the hosts avoid by its failures. With all servers of a service leaving, a booking was sent to one all the same.

--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -23,7 +23,7 @@
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
   takeover odd_rows late_refusals broken_streams run_once
-  named_limits planned_stop cut_heads fault_proxy)
+  named_limits leaving_servers planned_stop cut_heads fault_proxy)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -90,6 +90,8 @@
   run_once/a_runner_that_broke_off_gets_no_more_of_the_body
   named_limits/all_hosts_together_keep_to_a_named_limit
   named_limits/requests_above_all_limits_are_refused_at_once
+  leaving_servers/nothing_is_sent_after_an_answer_says_that_it_leaves
+  leaving_servers/requests_are_refused_at_once_if_all_servers_leave
   planned_stop/a_request_completed_late_is_answered_or_refused
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
   cut_heads/a_head_that_is_cut_is_no_answer
