Show that hosts send to servers that asked them for a pause

Three hosts, three servers of which one answers 503 with Retry-After: 2.5. From half a second after such an answer to the end of that time 1,961 requests of one host reached it, two allowed. With both servers of a service asking for 3 s, 7,025 and 7,737 did. A refusal's Retry-After is decoded nowhere.

--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -23,7 +23,7 @@
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
   takeover odd_rows late_refusals broken_streams run_once
-  named_limits leaving_servers planned_stop cut_heads fault_proxy)
+  named_limits leaving_servers paused_servers planned_stop cut_heads fault_proxy)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -92,6 +92,8 @@
   named_limits/requests_above_all_limits_are_refused_at_once
   leaving_servers/nothing_is_sent_after_an_answer_says_that_it_leaves
   leaving_servers/requests_are_refused_at_once_if_all_servers_leave
+  paused_servers/a_server_that_asks_for_a_pause_gets_no_requests_meanwhile
+  paused_servers/requests_are_refused_at_once_if_all_servers_pause
   planned_stop/a_request_completed_late_is_answered_or_refused
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
   cut_heads/a_head_that_is_cut_is_no_answer
