Send nothing to a server whose answer says that it leaves

What callers saw: requests went to servers that were about to end, for as long as the list called them ready; some of those servers never say so in the list. What was running there at the end broke off. Cause: the answers' Server-Leaving was decoded nowhere. Class: a statement of a server about itself that only its answers carry. Change: the header is decoded in platform/. direct_statements.cc records it for the lifetime to which the request was sent, whatever the answer's kind, and IsListed, which requests that wait, attempts that connect, repeats and claims ask, has it. Orders and reports to such a server end too. An attempt that this host itself called off no longer counts as an unreachable server. An answer that names another server says nothing of this one, for limits too. Why it works: the gate is asked again just before the first byte, and a statement of a lifetime outlasts older lists of that lifetime.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -15,9 +15,9 @@
 #include <algorithm>
 
 #include "rosemaryhook/answer_match.h"
-#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
+#include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/enum_names.h"
 #include "rosemaryhook/log.h"
@@ -179,7 +179,7 @@
         MatchAnswer({head.status, answer.request_id, answer.is_not_run,
                      answer.is_contradictory, i == 0 && !exchange.reused()},
                     call.headers.request_id);
-    RecordLimitStatement(
+    RecordStatements(
         {call.last_runner, call.attempt_start_ms}, answer,
         match == AnswerMatch::kOwn || match == AnswerMatch::kNotRun,
         exchange.sent(), call.daemon.get());
@@ -413,7 +413,8 @@
       RecordAnswer(false, now, &view->health);
       return;
     case AttemptEnd::kNotRun:
-      if (!exchange.may_have_reached() && !is_past_deadline) {
+      if (!exchange.may_have_reached() && !is_past_deadline &&
+          MaySend(*call.daemon, view->entry.id, call)) {
         RecordUnreachable(now, &view->health);
       }
       return;
--- a/rosemaryhook/direct_limits.cc
+++ b/rosemaryhook/direct_limits.cc
@@ -92,14 +92,6 @@
                         is_in_force ? "state=\"named\"" : "state=\"ended\"");
 }
 
-RunnerView* FindStart(const RunnerStart& runner, DirectDaemon* daemon) {
-  const auto found = daemon->runners.find(runner.id);
-  return found == daemon->runners.end() ||
-                 found->second.entry.start_ms != runner.start_ms
-             ? nullptr
-             : &found->second;
-}
-
 }  // namespace
 
 void RecordLimitStatement(const RunnerStart& runner,
@@ -127,17 +119,6 @@
   }
 }
 
-void RecordControlAnswer(const RunnerStart& runner,
-                         const Result<HttpAnswer>& fetched,
-                         Time sent,
-                         DirectDaemon* daemon) {
-  if (const auto* answer = std::get_if<HttpAnswer>(&fetched)) {
-    RecordLimitStatement(
-        runner, platform::ParseRunnerAnswer({answer->status, answer->headers}),
-        true, sent, daemon);
-  }
-}
-
 void MergePeerLimits(const PeerMessage& message,
                      Time now,
                      DirectDaemon* daemon) {
--- a/rosemaryhook/direct_limits.h
+++ b/rosemaryhook/direct_limits.h
@@ -9,16 +9,11 @@
 
 #include "platform/header_codec.h"
 #include "rosemaryhook/direct_daemon.h"
+#include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/peer_message.h"
 
 namespace rosemaryhook {
 
-// One lifetime of a backend server.
-struct RunnerStart {
-  std::string id;
-  int64_t start_ms = 0;
-};
-
 // Records what an answer says of its server's limit. `is_own`: it is provably
 // the answer to the request that was sent at `sent`; any other may be older, so
 // it can name a limit but not end one. An unreadable limit says nothing.
@@ -28,12 +23,6 @@
                           Time sent,
                           DirectDaemon* daemon);
 
-// The same for the answer to an order or a request for a report.
-void RecordControlAnswer(const RunnerStart& runner,
-                         const Result<HttpAnswer>& fetched,
-                         Time sent,
-                         DirectDaemon* daemon);
-
 // Applies the limits that another host was told.
 void MergePeerLimits(const PeerMessage& message,
                      Time now,
--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -97,6 +97,8 @@
     RunnerView new_view;
     new_view.own = view.own;
     new_view.own_adapters = std::move(view.own_adapters);
+    // An older list may show again a lifetime that has said that it leaves.
+    new_view.leaving_starts_ms = std::move(view.leaving_starts_ms);
     view = std::move(new_view);
     ResetOwnedRunner(entry.id, daemon);
   } else if (entry.is_leaving && !view.entry.is_leaving) {
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -3,13 +3,12 @@
 // clock just before the first byte of an order is sent.
 #include "rosemaryhook/direct_orders.h"
 
-#include "rosemaryhook/direct_limits.h"
-
 #include <algorithm>
 
 #include "platform/header_codec.h"
 #include "platform/runner_codec.h"
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -97,6 +96,13 @@
   NotifyRunnerChange(daemon);
 }
 
+// Whether this host may send the runner orders and ask it for reports now.
+bool MayCallRunner(const DirectDaemon& daemon, const std::string& runner) {
+  const RunnerView* view = FindRunnerView(daemon, runner);
+  return MayOrder(daemon.ownership, runner, Now()) && !daemon.is_leaving &&
+         view != nullptr && !HasSaidLeaving(*view);
+}
+
 HttpCall MakeRunnerCall(const DirectDaemon& daemon,
                         const RunnerView& view,
                         const std::string& runner) {
@@ -107,9 +113,7 @@
   call.connect_timeout = kOrderTimeout;
   // A late order could arrive after those of the runner's next owner.
   call.resets_on_close = true;
-  call.may_send = [&daemon, runner] {
-    return MayOrder(daemon.ownership, runner, Now()) && !daemon.is_leaving;
-  };
+  call.may_send = [&daemon, runner] { return MayCallRunner(daemon, runner); };
   return call;
 }
 
@@ -239,7 +243,7 @@
       break;
     }
     const Time now = Now();
-    if (!MayOrder(daemon->ownership, runner, now) || daemon->is_leaving) {
+    if (!MayCallRunner(*daemon, runner)) {
       PublishHeldAdapters(runner, owned.get(), daemon.get());
       co_await owned->changed.Wait(now + kOwnershipCheckInterval);
       continue;
--- a/rosemaryhook/direct_owners.cc
+++ b/rosemaryhook/direct_owners.cc
@@ -51,7 +51,7 @@
     const auto service = daemon.deployment->services.find(view.entry.service);
     if (service != daemon.deployment->services.end() &&
         service->second.has_engine && view.removed_at == Time() &&
-        !view.entry.is_leaving) {
+        !view.entry.is_leaving && !HasSaidLeaving(view)) {
       runners.push_back({id, view.entry.zone});
     }
   }
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -146,9 +146,9 @@
     MarkCrashed(call.attempt_incarnation, &daemon);
   }
   const auto view = daemon.runners.find(call.last_runner);
-  const bool is_leaving = view == daemon.runners.end() ||
-                          view->second.entry.is_leaving ||
-                          view->second.removed_at != Time();
+  const bool is_leaving =
+      view == daemon.runners.end() || view->second.entry.is_leaving ||
+      HasSaidLeaving(view->second) || view->second.removed_at != Time();
   if (!outcome.is_closed_by_peer || call.attempt_has_begun ||
       call.part_keys.empty() || call.is_blocked || is_leaving) {
     return;
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -72,6 +72,10 @@
 // kExtraHomeMs for any other.
 constexpr double kPopularCopyMs = 200;
 
+// Lifetimes of one server for which it is remembered that they leave. An older
+// list may show one of the newest again.
+constexpr size_t kMaxLeavingStarts = 8;
+
 struct Candidate {
   const RunnerView* view;
   double score;  // ms
@@ -275,10 +279,24 @@
          QueueDelayMs(TotalLoad(view), view);
 }
 
+bool HasSaidLeaving(const RunnerView& view) {
+  return view.leaving_starts_ms.contains(view.entry.start_ms);
+}
+
+bool RecordLeaving(RunnerView* view) {
+  std::set<int64_t>& starts = view->leaving_starts_ms;
+  const bool is_first = starts.insert(view->entry.start_ms).second;
+  if (starts.size() > kMaxLeavingStarts) {
+    starts.erase(starts.begin());
+  }
+  return is_first;
+}
+
 bool IsListed(const RunnerView& view, Time now) {
   const bool has_expired =
       view.grace_until != Time() && now >= view.grace_until;
-  return view.removed_at == Time() && !has_expired && !view.entry.is_leaving;
+  return view.removed_at == Time() && !has_expired && !view.entry.is_leaving &&
+         !HasSaidLeaving(view);
 }
 
 bool IsUsable(const RunnerView& view, const WantedRunner& wanted, Time now) {
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -77,6 +77,8 @@
   Time told_at;             // `named_limit.as_of` of its newest own answer
   bool is_limited = false;  // by `named_limit`, also after its end
   SendRate send_rate;       // while it is cold or limited
+  // Starts of the lifetimes in which an answer said that the server leaves.
+  std::set<int64_t> leaving_starts_ms;
   HeldAdapters held;
   bool is_owner_reachable = false;  // a host can order loads there now
   std::string owner_session;        // of that host; empty if it is this host
@@ -120,8 +122,17 @@
   const std::set<std::string>* zones_out = nullptr;
 };
 
-// Whether the backend server is in the list and not leaving. One that has been
-// missing since an outage counts as listed until its grace period ends.
+// Whether the backend server has said in an answer that it leaves. Holds for
+// the lifetime in which it said so, whatever the list says of that lifetime.
+bool HasSaidLeaving(const RunnerView& view);
+
+// Records such an answer of the lifetime that the list shows. Returns whether
+// it is the first.
+bool RecordLeaving(RunnerView* view);
+
+// Whether the backend server is in the list and not leaving, by its entry or
+// its answers. One that has been missing since an outage counts as listed until
+// its grace period ends.
 bool IsListed(const RunnerView& view, Time now);
 
 // Whether new requests may be sent to the backend server of `view`.
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -401,6 +401,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(statements_to_leave_are_decoded) {
+  const std::vector<std::pair<Headers, bool>> cases{
+      {{}, false},
+      {{{"Server-Leaving", "1"}}, true},
+      {{{"server-leaving", " 1 "}}, true},
+      {{{"Server-Leaving", "1, 1"}}, true},
+      {{{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}, true},
+      {{{"Server-Leaving", "0"}}, false},
+      {{{"Server-Leaving", ""}}, false},
+      {{{"Server-Leaving", "11"}}, false},
+      // Proves nothing by itself.
+      {{{"Connection", "close"}}, false}};
+  for (const auto& [headers, is_leaving] : cases) {
+    for (const int status : {200, 404, 421, 500, 503}) {
+      BOOST_TEST(ParseRunnerAnswer({status, headers}).is_leaving == is_leaving);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(rows_are_decoded) {
   const auto parsed = ParseRows(
       R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4},)"
