Send nothing to a server in the pause that it asked for

What callers saw: a server that turned requests away with 503 and Retry-After was sent more at once; its callers were refused although others were free. Cause: a refusal's Retry-After was decoded nowhere. Class, as for the statement to leave: what a server says of itself in its answers only. Requests go to other servers; if all pause they are refused at once with the earliest end. Orders and requests for reports wait too. Why it works: the gate is part of IsUsable and is asked again before the first byte, so what waits or connects is decided anew.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -101,6 +101,36 @@
   double expected_ms_;
 };
 
+// Counts a request as one of the return to a backend server after a pause, from
+// its send to its answer.
+class ScopedReturnSend {
+ public:
+  explicit ScopedReturnSend(RunnerView* view)
+      : view_(view),
+        start_ms_(view->entry.start_ms),
+        is_waiting_(view->pause.return_window > 0) {
+    if (is_waiting_) {
+      RecordReturnSend(&view_->pause);
+    }
+  }
+  ~ScopedReturnSend() { RecordHead(false); }
+  ScopedReturnSend(const ScopedReturnSend&) = delete;
+  ScopedReturnSend& operator=(const ScopedReturnSend&) = delete;
+
+  // Records the answer's head, the first time that it is called.
+  void RecordHead(bool is_good) {
+    const bool is_same_start = view_->entry.start_ms == start_ms_;
+    if (std::exchange(is_waiting_, false) && is_same_start) {
+      RecordReturnAnswer(is_good, &view_->pause);
+    }
+  }
+
+ private:
+  RunnerView* view_;
+  int64_t start_ms_;
+  bool is_waiting_;
+};
+
 // Lets the caller's disconnect cancel the attempt.
 class AttemptScope {
  public:
@@ -127,7 +157,8 @@
              const DirectCall& call) {
   const auto view = daemon.runners.find(runner);
   return !call.is_disconnected && view != daemon.runners.end() &&
-         IsListed(view->second, Now()) && !HasBlockedPart(call) &&
+         IsListed(view->second, Now()) &&
+         !IsPaused(view->second.pause, Now()) && !HasBlockedPart(call) &&
          Now() < daemon.sends_until &&
          !daemon.zones_out.contains(view->second.entry.zone);
 }
@@ -395,6 +426,11 @@
   co_return co_await ForwardBuffered(call, exchange, std::move(head), load);
 }
 
+// Whether the backend server took the request and did not fail.
+bool IsGoodAnswer(const MatchedHead& matched) {
+  return matched.match == AnswerMatch::kOwn && matched.head.status < 500;
+}
+
 void RecordRunnerHealth(const DirectCall& call,
                         const AttemptOutcome& outcome,
                         const HttpExchange& exchange,
@@ -482,6 +518,7 @@
   }
   HttpExchange exchange(&daemon.pool);
   AttemptScope scope(&call, &exchange);
+  ScopedReturnSend return_send(view);
   auto started = co_await exchange.Start(BuildCall(call, *view));
   AttemptOutcome outcome;
   if (const Error* error = Failure(started)) {
@@ -495,6 +532,7 @@
     if (const Error* error = Failure(head)) {
       outcome = MakeOutcome(AttemptEnd::kUnknown, error->message);
     } else {
+      return_send.RecordHead(IsGoodAnswer(std::get<MatchedHead>(head)));
       outcome = co_await HandleAnswer(
           call, exchange, std::move(std::get<MatchedHead>(head)), view, load);
     }
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -68,6 +68,14 @@
   }
 }
 
+// Whether this host may send the runner orders and ask it for reports now.
+bool MayCallRunner(const DirectDaemon& daemon, const std::string& runner) {
+  const RunnerView* view = FindRunnerView(daemon, runner);
+  return MayOrder(daemon.ownership, runner, Now()) && !daemon.is_leaving &&
+         view != nullptr && !HasSaidLeaving(*view) &&
+         !IsPaused(view->pause, Now());
+}
+
 // Makes the adapters that the runner holds visible to requests on this host and
 // schedules their broadcast to the other hosts.
 void PublishHeldAdapters(const std::string& runner,
@@ -81,7 +89,7 @@
   HeldAdapters held = UsableAdapters(owned->plan);
   const bool is_owner_reachable = owned->plan.is_synced &&
                                   !owned->plan.models.empty() &&
-                                  MayOrder(daemon->ownership, runner, Now());
+                                  MayCallRunner(*daemon, runner);
   view.owner_session.clear();
   AnswerRequesters(runner, held, owned, daemon);
   if (held == view.held && view.is_owner_reachable == is_owner_reachable) {
@@ -96,13 +104,6 @@
   NotifyRunnerChange(daemon);
 }
 
-// Whether this host may send the runner orders and ask it for reports now.
-bool MayCallRunner(const DirectDaemon& daemon, const std::string& runner) {
-  const RunnerView* view = FindRunnerView(daemon, runner);
-  return MayOrder(daemon.ownership, runner, Now()) && !daemon.is_leaving &&
-         view != nullptr && !HasSaidLeaving(*view);
-}
-
 HttpCall MakeRunnerCall(const DirectDaemon& daemon,
                         const RunnerView& view,
                         const std::string& runner) {
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -46,6 +46,10 @@
 // request. The caller's next attempt mostly reaches another host.
 constexpr Duration kLimitedRetryAfter = std::chrono::seconds(1);
 
+// Spread of the callers that return after pauses of runners.
+constexpr Duration kCallerReturnSpread = std::chrono::milliseconds(500);
+constexpr int64_t kReturnSteps = 1000;
+
 // Milliseconds from the arrival to `time`, -1 if `time` is not set.
 int64_t MillisSinceArrival(const DirectCall& call, Time time) {
   return time == Time() ? -1 : Millis(time - call.arrived);
@@ -291,6 +295,27 @@
   return true;
 }
 
+// The time after which the pauses that all runners of the service asked for let
+// a caller return. Differs by request, so that not all callers return at once.
+Duration RetryAfterPauses(const DirectCall& call, Time resume_at) {
+  const auto offset = static_cast<int64_t>(
+      std::hash<std::string>()(call.headers.request_id) % kReturnSteps);
+  return std::max(kMinRetryAfter, resume_at - Now()) +
+         kCallerReturnSpread * offset / kReturnSteps;
+}
+
+// Sets why the request is refused and when its caller should return.
+void RefuseWithoutRunner(const RunnerChoice& choice, DirectCall* call) {
+  if (choice.usable > 0) {
+    call->no_runner_reason = "no_runner_in_time";
+  } else if (choice.resume_at == Time::max()) {
+    call->no_runner_reason = "no_runner";
+  } else {
+    call->no_runner_reason = "runners_pause";
+    call->no_runner_retry_after = RetryAfterPauses(*call, choice.resume_at);
+  }
+}
+
 // Waits for a runner that holds the adapter and returns its id, empty if no
 // runner can serve the request in time.
 awaitable<std::string> PickRunner(DirectCall& call) {
@@ -333,8 +358,7 @@
       co_return std::string();
     }
     if (choice.usable == 0 || now >= wait_until) {
-      call.no_runner_reason =
-          choice.usable == 0 ? "no_runner" : "no_runner_in_time";
+      RefuseWithoutRunner(choice, &call);
       co_return std::string();
     }
     if (waits_for_limits) {
@@ -410,6 +434,12 @@
   }
   const bool is_late = Now() >= call.deadline;
   if (outcome.end == AttemptEnd::kNotRun && call.runs == 0) {
+    const RunnerChoice choice =
+        ChooseRunner(call.daemon->runners, MakeWantedRunner(call), Now());
+    if (!call.no_runner_retry_after && choice.usable == 0 &&
+        choice.resume_at < Time::max()) {
+      call.no_runner_retry_after = RetryAfterPauses(call, choice.resume_at);
+    }
     const bool is_refused_here = call.is_blocked || outcome.reason.empty();
     const DirectRefusal refusal = MakeDirectRefusal(
         503, is_refused_here ? call.no_runner_reason : outcome.reason,
--- a/rosemaryhook/direct_statements.cc
+++ b/rosemaryhook/direct_statements.cc
@@ -25,6 +25,24 @@
   NotifyRunnerChange(daemon);
 }
 
+void RecordPauseStatement(const RunnerStart& runner,
+                          Duration length,
+                          DirectDaemon* daemon) {
+  RunnerView* view = FindStart(runner, daemon);
+  const Duration spread = ReturnSpread(runner.id, daemon->settings.peers,
+                                       daemon->host_addresses.size());
+  if (view == nullptr || !RecordPause(length, spread, Now(), &view->pause)) {
+    return;
+  }
+  Log("pause", {{"runner", runner.id},
+                {"start", runner.start_ms},
+                {"asked_ms", Millis(length)},
+                {"spread_ms", Millis(spread)},
+                {"until_ms", Millis(view->pause.until.time_since_epoch())}});
+  daemon->metrics.Count("pause_statements_total");
+  NotifyRunnerChange(daemon);
+}
+
 }  // namespace
 
 RunnerView* FindStart(const RunnerStart& runner, DirectDaemon* daemon) {
@@ -48,6 +66,9 @@
   if (answer.is_leaving) {
     RecordLeavingStatement(runner, daemon);
   }
+  if (answer.pause) {
+    RecordPauseStatement(runner, *answer.pause, daemon);
+  }
   RecordLimitStatement(runner, answer, is_own, sent, daemon);
 }
 
--- a/rosemaryhook/direct_statements.h
+++ b/rosemaryhook/direct_statements.h
@@ -1,5 +1,6 @@
 // What backend servers say of themselves in the heads of their answers: that
-// they leave, and which rate of requests they take (direct_limits.h).
+// they leave, for how long they want no requests, and which rate of requests
+// they take (direct_limits.h).
 //
 //   RecordStatements({runner, start_ms}, answer, is_own, sent, &daemon);
 //
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -103,6 +103,14 @@
   return score;
 }
 
+// Whether the backend server can serve such requests, now or after a pause.
+bool IsEligible(const RunnerView& view, const WantedRunner& wanted, Time now) {
+  return view.entry.service == wanted.service && IsListed(view, now) &&
+         (wanted.model.empty() || view.entry.models.contains(wanted.model)) &&
+         !(wanted.zones_out != nullptr &&
+           wanted.zones_out->contains(view.entry.zone));
+}
+
 bool IsCold(const RunnerView& view, Time now) {
   return now < view.cold_until;
 }
@@ -130,10 +138,17 @@
   std::vector<Candidate> good;
   std::vector<Candidate> avoided;
   for (const auto& [id, view] : runners) {
+    if (IsPaused(view.pause, now) && IsEligible(view, wanted, now)) {
+      choice->resume_at = std::min(choice->resume_at, view.pause.until);
+    }
     if (!IsUsable(view, wanted, now)) {
       continue;
     }
     ++choice->usable;
+    if (!HasReturnRoom(view.pause)) {
+      choice->is_rate_limited = true;
+      continue;
+    }
     if (IsPaced(view, now) && !HasSendAllowance(view.send_rate, now)) {
       RecordUsedUp(view, choice);
       continue;
@@ -300,11 +315,8 @@
 }
 
 bool IsUsable(const RunnerView& view, const WantedRunner& wanted, Time now) {
-  return view.entry.service == wanted.service && IsListed(view, now) &&
-         !wanted.tried.contains(view.entry.id) &&
-         (wanted.model.empty() || view.entry.models.contains(wanted.model)) &&
-         !(wanted.zones_out != nullptr &&
-           wanted.zones_out->contains(view.entry.zone));
+  return IsEligible(view, wanted, now) && !IsPaused(view.pause, now) &&
+         !wanted.tried.contains(view.entry.id);
 }
 
 bool IsPaced(const RunnerView& view, Time now) {
@@ -397,7 +409,7 @@
   for (const std::string& id : ids) {
     const auto view = runners.find(id);
     if (view == runners.end() || !IsUsable(view->second, wanted, now) ||
-        !IsHeld(view->second, wanted) ||
+        !IsHeld(view->second, wanted) || !HasReturnRoom(view->second.pause) ||
         (IsPaced(view->second, now) &&
          !HasSendAllowance(view->second.send_rate, now))) {
       continue;
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -27,6 +27,7 @@
 #include "rosemaryhook/named_limit.h"
 #include "rosemaryhook/runner_entry.h"
 #include "rosemaryhook/runner_health.h"
+#include "rosemaryhook/send_pause.h"
 #include "rosemaryhook/send_rate.h"
 #include "rosemaryhook/time.h"
 
@@ -77,6 +78,7 @@
   Time told_at;             // `named_limit.as_of` of its newest own answer
   bool is_limited = false;  // by `named_limit`, also after its end
   SendRate send_rate;       // while it is cold or limited
+  SendPause pause;
   // Starts of the lifetimes in which an answer said that the server leaves.
   std::set<int64_t> leaving_starts_ms;
   HeldAdapters held;
@@ -135,7 +137,8 @@
 // its grace period ends.
 bool IsListed(const RunnerView& view, Time now);
 
-// Whether new requests may be sent to the backend server of `view`.
+// Whether new requests may be sent to the backend server of `view`, which is
+// listed and has not asked for a pause.
 bool IsUsable(const RunnerView& view, const WantedRunner& wanted, Time now);
 
 // Whether requests to the backend server keep to `send_rate`.
@@ -159,6 +162,9 @@
   int limits_used_up = 0;
   Time allowance_at = Time::max();
   double allowance_per_s = 0;
+  // The earliest end of the pauses that runners asked for, also of those that
+  // the request has tried; Time::max() if none did.
+  Time resume_at = Time::max();
 };
 
 using RunnerViews = std::map<std::string, RunnerView>;
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -420,6 +420,40 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(pauses_in_refusals_are_decoded) {
+  struct Case {
+    std::vector<std::string> values;
+    std::optional<int64_t> pause_ms;
+  };
+  const std::vector<Case> cases{
+      {{}, std::nullopt},
+      {{"2"}, 2000},
+      {{" 0.25 "}, 250},
+      {{"0"}, 0},
+      {{"1e9"}, 1'000'000'000'000},
+      {{"1", "3", "2"}, 3000},
+      {{"soon"}, std::nullopt},
+      {{"-1"}, std::nullopt},
+      {{"nan"}, std::nullopt},
+      {{"1e300"}, std::nullopt},
+      {{""}, std::nullopt},
+      {{"Wed, 21 Oct 2026 07:28:00 GMT"}, std::nullopt},
+      {{"soon", "1.5"}, 1500}};
+  for (const Case& c : cases) {
+    Headers headers;
+    for (const std::string& value : c.values) {
+      headers.emplace_back("retry-after", value);
+    }
+    const auto pause = ParseRunnerAnswer({503, headers}).pause;
+    const std::string name = c.values.empty() ? "none" : c.values.front();
+    BOOST_TEST(pause.has_value() == c.pause_ms.has_value(), name);
+    BOOST_TEST((!pause || Millis(*pause) == *c.pause_ms), name);
+    for (const int status : {200, 429, 500}) {
+      BOOST_TEST(!ParseRunnerAnswer({status, headers}).pause.has_value(), name);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(rows_are_decoded) {
   const auto parsed = ParseRows(
       R"({"rows":[{"key":"a","value":"bm9kZS0x","ver":4},)"
