Show that a host sends by a list of any age

Three hosts; the two that poll the store are stopped just after an update, a server leaves, the store has dropped its history and takes 0.6 s for an answer. The stand-in platform can be slow (store_slow_ms) and drop its history (history_from).

--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -10,6 +10,8 @@
 // requests and orders that the backend servers received and ran.
 //
 // Faults: store_down (responds with 503), store_silent (no response),
+// store_slow_ms (responds after that time), history_from (changes up to this
+// version of the store are no longer known),
 // lose_orders (the next N orders get no response and are not executed), mute
 // (the next N requests run but get no response), fail (the next N requests get
 // 500), cut (the next N streams are truncated within an event), not_run (the
@@ -181,6 +183,9 @@
                           HttpReply& reply) {
   const std::string table = QueryParameter(request.target, "table");
   const int64_t after = std::stoll(QueryParameter(request.target, "after"));
+  if (after < site->faults.Number("history_from")) {
+    co_return (void) co_await SendJson(reply, 410, Json::object());
+  }
   const Time until = Now() + std::chrono::milliseconds(std::stoll(
                                  QueryParameter(request.target, "wait_ms")));
   while (RowsOf(*site, table, after)["rows"].empty() && Now() < until) {
@@ -267,6 +272,8 @@
     co_await Sleep(std::chrono::seconds(30));
     co_return reply.Abort();
   }
+  co_await Sleep(
+      std::chrono::milliseconds(site->faults.Number("store_slow_ms")));
   if (site->faults.IsOn("store_down")) {
     co_await SendJson(reply, 503, Json::object());
   } else if (request.target.starts_with("/v1/rows-get")) {
