Send nothing by a list of servers that has become old

Cause: a host used its list whatever its age; the ways by which news reaches it add up to 2.9 s and more without another fault. Class: what a host believes of a server is used beyond the time for which its source vouches for it. Change: IsListTrusted decides from the list's age by the store's clock and the newest failed read. Requests wait for the read in progress; the gate is asked again before the first byte. An outage stops no requests: after a failed read the old list is used, unless the error came so late that the process itself was. Why it works: the bound no longer rests on the sum of time-outs. Ruled out: another time-out or shorter intervals, which move the sum only.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -15,6 +15,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/answer_match.h"
+#include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_statements.h"
@@ -158,7 +159,8 @@
   const auto view = daemon.runners.find(runner);
   return !call.is_disconnected && view != daemon.runners.end() &&
          IsListed(view->second, Now()) &&
-         !IsPaused(view->second.pause, Now()) && !HasBlockedPart(call) &&
+         !IsPaused(view->second.pause, Now()) &&
+         IsRunnerListTrusted(daemon, Now()) && !HasBlockedPart(call) &&
          Now() < daemon.sends_until &&
          !daemon.zones_out.contains(view->second.entry.zone);
 }
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -46,6 +46,7 @@
   bool is_lost = false;
   int64_t version = 0;    // store version up to which the list is known here
   Time fresh;             // when the list was last known to be up to date
+  Time failed_read;       // when the newest read that failed began
   Time fresh_before;      // `fresh` before the newest answer or update
   int64_t announced = 0;  // newest version in a list update from another host
   Time gap_since;         // when a missed update was last detected
--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -9,6 +9,7 @@
 #include "platform/runner_codec.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
+#include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -135,6 +136,11 @@
   return std::min(Time(std::chrono::milliseconds(clock_ms - ahead_ms)), now);
 }
 
+bool IsRunnerListTrusted(const DirectDaemon& daemon, Time now) {
+  const StoreContact& contact = daemon.runner_contact;
+  return IsListTrusted(contact.fresh, contact.failed_read, now);
+}
+
 bool HasGap(const StoreContact& contact) {
   return contact.version > 0 && contact.version < contact.announced;
 }
--- a/rosemaryhook/direct_lists.h
+++ b/rosemaryhook/direct_lists.h
@@ -37,6 +37,10 @@
                      Time now,
                      StoreContact* contact);
 
+// Whether requests may be sent by the list of backend servers
+// (list_sharing.h).
+bool IsRunnerListTrusted(const DirectDaemon& daemon, Time now);
+
 // Whether a list update announced changes that this host does not have yet.
 bool HasGap(const StoreContact& contact);
 
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -12,6 +12,7 @@
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_call.h"
 #include "rosemaryhook/direct_limits.h"
+#include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/log.h"
@@ -195,6 +196,19 @@
        {"list_age_ms", Millis(Now() - call.daemon->runner_contact.fresh)}});
 }
 
+// Logs that a request waits for a newer list of backend servers.
+void LogListWait(const DirectCall& call) {
+  const StoreContact& contact = call.daemon->runner_contact;
+  const Time now = Now();
+  Log("wait",
+      {{"id", call.headers.request_id},
+       {"why", "list_outdated"},
+       {"list_age_ms", Millis(now - contact.fresh)},
+       {"source", ListSourceName(contact.source)},
+       {"gap_ms", HasGap(contact) ? Millis(now - contact.gap_since) : -1}});
+  call.daemon->metrics.Count("outdated_list_waits_total");
+}
+
 // Counts a request that waits for an adapter as load of the runner that is
 // loading it. Load pattern: demand jumps to an adapter that no runner holds.
 // Without this count the first runner to hold it would get all waiting requests
@@ -335,6 +349,18 @@
       co_return std::string();
     }
     waiting_load.MoveTo(nullptr);
+    if (!IsRunnerListTrusted(daemon, now)) {
+      if (now >= wait_until) {
+        call.no_runner_reason = "list_outdated";
+        co_return std::string();
+      }
+      if (!std::exchange(is_waiting, true)) {
+        LogListWait(call);
+      }
+      co_await AwaitRunnerChange(daemon,
+                                 std::min(now + kPickInterval, wait_until));
+      continue;
+    }
     const WantedRunner wanted = MakeWantedRunner(call);
     const RunnerChoice choice = ChooseRunner(daemon.runners, wanted, now);
     const bool must_wait =
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -55,6 +55,10 @@
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 
+// An error later than this after a read's deadline shows that this process was
+// late, not that the store is unreachable.
+constexpr Duration kMaxErrorDelay = std::chrono::milliseconds(100);
+
 constexpr char kHostTable[] = "hosts";
 
 void RecordLost(const char* list, const Error& error, StoreContact* contact) {
@@ -65,6 +69,12 @@
   contact->is_lost = true;
 }
 
+void RecordFailedRead(Time begin, Time deadline, StoreContact* contact) {
+  if (Now() <= deadline + kMaxErrorDelay) {
+    contact->failed_read = begin;
+  }
+}
+
 // Logs a read of the store or through another host that failed or took long,
 // with the time since this host learned of a change that it lacks.
 void LogSlowRead(const char* list,
@@ -195,6 +205,9 @@
     RecordStoreAnswer(polled.list_name, Now(), &contact);
   } else {
     RecordLost(polled.list_name, *store_error, &contact);
+    RecordFailedRead(request_time, request_time + wait + kStoreTimeout,
+                     &contact);
+    NotifyRunnerChange(daemon.get());
     outcome = co_await ReadTableThroughPeer(*daemon, polled, from);
     if (std::holds_alternative<Error>(outcome)) {
       co_return false;
--- a/rosemaryhook/list_sharing.cc
+++ b/rosemaryhook/list_sharing.cc
@@ -33,6 +33,10 @@
   return PollerRank(address, hosts, now) < kPollers;
 }
 
+bool IsListTrusted(Time fresh, Time failed_read, Time now) {
+  return now - fresh <= kMaxListAge || failed_read > fresh;
+}
+
 UpdateUse ClassifyUpdate(int64_t from, int64_t to, int64_t known) {
   if (known == 0 || from > known) {
     return UpdateUse::kGap;
--- a/rosemaryhook/list_sharing.h
+++ b/rosemaryhook/list_sharing.h
@@ -38,6 +38,20 @@
               const std::map<std::string, PeerHost>& hosts,
               Time now);
 
+// The platform allows about two seconds from the moment a server leaves to the
+// last request that reaches it. A list that was last known to be current longer
+// ago than this does not show which servers requests may be sent to.
+constexpr Duration kMaxListAge = std::chrono::milliseconds(1500);
+
+// Whether requests may be sent by a list that was last known to be current at
+// `fresh`. An older one may be used only if this host has asked since and got
+// no answer, so that an outage of the store stops no requests: `failed_read` is
+// when the newest read that failed began, Time() if none did.
+//
+// Load pattern: the hosts that poll are lost or late, so that news is not
+// broadcast, while this host's own reads take long.
+bool IsListTrusted(Time fresh, Time failed_read, Time now);
+
 // What to do with a list update, which has the rows that changed between two
 // versions of the store.
 enum class UpdateUse {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -2,7 +2,7 @@
 set(UNIT_SUITES
   adapter_demand adapter_plan answer_match api backend_state claims contact deployment
   direct_state event_splitter fleet_state http_io idempotency load_pacing
-  membership peer_backlog peer_reads placement platform_codec rates
+  list_trust membership peer_backlog peer_reads placement platform_codec rates
   prompt_suspects repeat_limits retries routing runner_choice runner_ownership
   runner_ownership_leaving send_pause send_rate settings statements sheet silent_connections stream_stalls
   suspects
