Show what hosts make of a store restored from a copy

The stand-in platform can take a copy of its store and return to it: versions go back, reads from one that it does not have get 410, and Store-Era rises.

--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -11,12 +11,13 @@
 //
 // Faults: store_down (responds with 503), store_silent (no response),
 // store_slow_ms (responds after that time), history_from (changes up to this
-// version of the store are no longer known),
-// lose_orders (the next N orders get no response and are not executed), mute
-// (the next N requests run but get no response), fail (the next N requests get
-// 500), cut (the next N streams are truncated within an event), not_run (the
-// next N requests are refused as not run), leave (the backend server with this
-// id starts draining), restart (the backend server with this id loses its
+// version of the store are no longer known), copy_store (true: takes a copy of
+// the store), restore_store (true: the store returns to the copy, in a new
+// era), lose_orders (the next N orders get no response and are not executed),
+// mute (the next N requests run but get no response), fail (the next N requests
+// get 500), cut (the next N streams are truncated within an event), not_run
+// (the next N requests are refused as not run), leave (the backend server with
+// this id starts draining), restart (the backend server with this id loses its
 // state and gets a new incarnation), crashing_part (text: a backend server that
 // begins to answer a prompt with this part crashes and is back later; GET
 // /ledger lists the requests with the part as "crashing").
@@ -46,6 +47,8 @@
   bool is_removed = false;
 };
 
+using Tables = std::map<std::string, std::map<std::string, Row>>;
+
 struct Backend {
   std::string id;
   std::string service;
@@ -67,8 +70,11 @@
   explicit Site(asio::io_context& context) : io(context) {}
   asio::io_context& io;
   Faults faults;
-  std::map<std::string, std::map<std::string, Row>> tables;
+  Tables tables;
   int64_t version = 1;
+  int64_t era = 1;
+  Tables copied_tables;
+  int64_t copied_version = 1;
   std::vector<std::shared_ptr<Backend>> backends;
   std::vector<std::shared_ptr<HttpServer>> servers;
   std::map<std::string, int> runs;               // request id -> number of runs
@@ -80,6 +86,16 @@
   std::string leaked_headers;  // that must not reach a backend server
 };
 
+// An answer of the store.
+awaitable<bool> SendStoreJson(const Site& site,
+                              HttpReply& reply,
+                              int status,
+                              Json body) {
+  Headers headers{{"content-type", "application/json"},
+                  {"Store-Era", std::to_string(site.era)}};
+  co_return co_await reply.Send(status, std::move(headers), body.dump());
+}
+
 std::string EncodeBase64(const std::string& bytes) {
   std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
   text.resize(
@@ -183,8 +199,8 @@
                           HttpReply& reply) {
   const std::string table = QueryParameter(request.target, "table");
   const int64_t after = std::stoll(QueryParameter(request.target, "after"));
-  if (after < site->faults.Number("history_from")) {
-    co_return (void) co_await SendJson(reply, 410, Json::object());
+  if (after < site->faults.Number("history_from") || after > site->version) {
+    co_return (void) co_await SendStoreJson(*site, reply, 410, Json::object());
   }
   const Time until = Now() + std::chrono::milliseconds(std::stoll(
                                  QueryParameter(request.target, "wait_ms")));
@@ -192,7 +208,7 @@
     co_await Sleep(
         std::min<Duration>(until - Now(), std::chrono::milliseconds(10)));
   }
-  co_await SendJson(reply, 200, RowsOf(*site, table, after));
+  co_await SendStoreJson(*site, reply, 200, RowsOf(*site, table, after));
 }
 
 Json Ledger(const Site& site) {
@@ -252,6 +268,15 @@
     if (Backend* leaving = FindBackend(site, body.value("leave", ""))) {
       leaving->is_leaving = true;
     }
+    if (body.value("copy_store", false)) {
+      site->copied_tables = site->tables;
+      site->copied_version = site->version;
+    }
+    if (body.value("restore_store", false)) {
+      site->tables = site->copied_tables;
+      site->version = site->copied_version;
+      ++site->era;
+    }
     if (Backend* restarted = FindBackend(site, body.value("restart", ""))) {
       ResetBackend(restarted);
     }
@@ -277,15 +302,16 @@
   if (site->faults.IsOn("store_down")) {
     co_await SendJson(reply, 503, Json::object());
   } else if (request.target.starts_with("/v1/rows-get")) {
-    co_await SendJson(
-        reply, 200, RowsOf(*site, QueryParameter(request.target, "table"), 0));
+    co_await SendStoreJson(
+        *site, reply, 200,
+        RowsOf(*site, QueryParameter(request.target, "table"), 0));
   } else if (request.target.starts_with("/v1/rows-feed")) {
     co_await ServeFeed(site, request, reply);
   } else if (request.target == "/v1/rows-tx") {
     auto [status, answer] = Transact(site, Json::parse(request.body));
-    co_await SendJson(reply, status, std::move(answer));
+    co_await SendStoreJson(*site, reply, status, std::move(answer));
   } else {
-    co_await SendJson(reply, 404, Json::object());
+    co_await SendStoreJson(*site, reply, 404, Json::object());
   }
 }
 
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -23,7 +23,7 @@
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
   takeover odd_rows late_refusals broken_streams run_once
-  named_limits leaving_servers paused_servers outdated_lists planned_stop cut_heads fault_proxy)
+  named_limits leaving_servers paused_servers outdated_lists restored_store planned_stop cut_heads fault_proxy)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -95,6 +95,8 @@
   paused_servers/a_server_that_asks_for_a_pause_gets_no_requests_meanwhile
   paused_servers/requests_are_refused_at_once_if_all_servers_pause
   outdated_lists/a_host_sends_nothing_by_a_list_that_has_become_old
+  restored_store/changes_after_the_restore_are_in_force_in_time
+  restored_store/what_was_acknowledged_before_stays_in_force
   planned_stop/a_request_completed_late_is_answered_or_refused
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
   cut_heads/a_head_that_is_cut_is_no_answer
