Let a limit that has ended rise from a floor

Cause: the rise begins at the limit, however small it was. Change: it begins at 4 a second at least, from all hosts together, which any sound server takes; larger limits rise as before. a_small_limit_rises_from_a_floor failed before (6 of its checks), passes now.

--- a/rosemaryhook/named_limit.cc
+++ b/rosemaryhook/named_limit.cc
@@ -10,8 +10,9 @@
 // when it ends.
 constexpr double kMinPerSecond = 0.3;
 
-// Least rate from which a limit that has ended rises.
-constexpr double kMinRampPerSecond = 1;
+// Least rate from which a limit that has ended rises. Any sound server takes it
+// from all hosts together.
+constexpr double kMinRampPerSecond = 4;
 
 Time EndOf(const NamedLimit& limit) {
   return limit.ended != Time() ? limit.ended : limit.as_of + kLimitRetention;
--- a/rosemaryhook/testing/named_limit_test.cc
+++ b/rosemaryhook/testing/named_limit_test.cc
@@ -41,6 +41,18 @@
   BOOST_TEST(EffectiveLimit(limit, At(12)) == kNoLimit);
 }
 
+// Guards against a sound server that stands nearly unused for 10 s since its
+// limit was small.
+BOOST_AUTO_TEST_CASE(a_small_limit_rises_from_a_floor) {
+  for (const double per_s : {0.0, 0.3, 1.1, 4.0}) {
+    NamedLimit limit;
+    RecordNamed(per_s, At(0), At(0), &limit);
+    RecordNotNamed(At(1), At(2), &limit);
+    BOOST_TEST(EffectiveLimit(limit, At(2)) == 4, per_s);
+    BOOST_TEST(EffectiveLimit(limit, At(8)) == 32, per_s);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_limit_that_no_answer_confirms_ends) {
   NamedLimit limit;
   RecordNamed(0, At(0), At(0), &limit);
