Let owners with contact go on after a restore of the store

Cause: a new era ended every right to order, though most owners could have shown that no other host can have one. An owner's first order now needs an answer that is at most a lease older than the end of its wait, so an owner that the store has lost can never begin. The proof is at the top of runner_ownership.cc. The log of a claim has the fencing number of its orders.

--- a/rosemaryhook/direct_owners.cc
+++ b/rosemaryhook/direct_owners.cc
@@ -147,7 +147,7 @@
     RecordClaimed(claim, *version, Now(), &daemon->ownership);
     const std::string_view reason = ClaimReasonName(claim.reason);
     Log("claim", {{"runner", claim.runner},
-                  {"fence", *version},
+                  {"fence", FenceOf(daemon->ownership, claim.runner)},
                   {"reason", reason},
                   {"wait_ms", Millis(claim.wait)}});
     daemon->metrics.Count("owner_claims_total",
--- a/rosemaryhook/runner_ownership.cc
+++ b/rosemaryhook/runner_ownership.cc
@@ -13,6 +13,12 @@
 // (p - s) has passed; the claim is written after p and carries that rest. The
 // address proves that the earlier process has ended, since two processes cannot
 // bind it at a time, but not that this process was allowed to order.
+//
+// Why an owner may go on after a restore of the store: it had contact at c, by
+// an answer that showed its row, and the new era began for it before c +
+// kOrderContactTimeout. Whoever claimed the runner in the earlier era did so
+// after c, with a wait for this owner, so its first order would need an answer
+// of that era from after c + kOrderContactTimeout, when the era had ended.
 #include "rosemaryhook/runner_ownership.h"
 
 #include <algorithm>
@@ -48,12 +54,13 @@
 // Versions of the store stay below this within one era.
 constexpr int64_t kFencesPerEra = int64_t{1} << 32;
 
-constexpr NameTable<ClaimReason, 5> kReasonNames{{
+constexpr NameTable<ClaimReason, 6> kReasonNames{{
     {ClaimReason::kUnowned, "unowned"},
     {ClaimReason::kRestarted, "restarted"},
     {ClaimReason::kOwnerLeft, "owner_left"},
     {ClaimReason::kOwnerSilent, "owner_silent"},
     {ClaimReason::kRowRemoved, "row_removed"},
+    {ClaimReason::kStoreRestored, "store_restored"},
 }};
 
 // No claim needs a longer wait: the contact timeout, the longest lease that the
@@ -67,6 +74,7 @@
   switch (reason) {
     case ClaimReason::kUnowned:
     case ClaimReason::kRestarted:
+    case ClaimReason::kStoreRestored:
       return Duration::zero();
     case ClaimReason::kOwnerLeft:
       return lease + kClockMargin;
@@ -88,18 +96,43 @@
   return std::max<int64_t>(era - kFirstEra, 0) * kFencesPerEra + version;
 }
 
+// Whether the row was written in this era of the store.
+bool IsOfEra(const OwnerRow& row, const RunnerOwnership& ownership) {
+  return row.version > 0 && row.era == ownership.era;
+}
+
 // The wait of a claim that replaces `row`, or begins one if it has no version.
 Duration ClaimWait(const RunnerOwnership& ownership,
+                   const std::string& runner,
                    const OwnerRow& row,
                    ClaimReason reason,
                    Time now) {
-  const bool is_of_era = row.version > 0 && row.era == ownership.era;
-  const Duration era_wait =
-      is_of_era ? Duration::zero() : ownership.era_wait_until - now;
+  if (reason == ClaimReason::kStoreRestored) {
+    return std::max(ownership.kept_rights.at(runner) - now, Duration::zero());
+  }
+  const Duration era_wait = IsOfEra(row, ownership)
+                                ? Duration::zero()
+                                : ownership.era_wait_until - now;
   return std::max({WaitForOwner(reason, ownership.lease),
                    WaitEnd(row, ownership.lease) - now, era_wait});
 }
 
+// How long this host leaves a runner to others that may claim it first: to a
+// host that is restarting, or to the owner before a restore of the store.
+Duration ClaimPause(const RunnerOwnership& ownership,
+                    const OwnerRow& row,
+                    ClaimReason reason,
+                    Time now) {
+  if (reason == ClaimReason::kStoreRestored) {
+    return Duration::zero();
+  }
+  if (!IsOfEra(row, ownership) && now < ownership.era_wait_until) {
+    return kClaimRankDelay;
+  }
+  return reason == ClaimReason::kOwnerLeft ? kRestartGracePeriod
+                                           : Duration::zero();
+}
+
 // Rank of this host among the hosts that may claim `runner`; 0 claims first.
 // Hosts of the runner's zone rank first, each group in the order of rendezvous
 // hashing.
@@ -123,10 +156,16 @@
 // Whether `row` has no owner, or one that has left, was restarted or is not
 // reachable. Sets `reason` accordingly.
 bool IsClaimable(const RunnerOwnership& ownership,
+                 const std::string& runner,
                  const OwnerRow& row,
                  const std::map<std::string, PeerHost>& hosts,
                  Time now,
                  ClaimReason* reason) {
+  if (ownership.kept_rights.contains(runner) && !IsOfEra(row, ownership) &&
+      now < ownership.era_wait_until) {
+    *reason = ClaimReason::kStoreRestored;
+    return true;
+  }
   if (row.version == 0) {
     *reason = ClaimReason::kUnowned;
     return true;
@@ -198,22 +237,24 @@
         found == ownership->rows.end() ? OwnerRow{} : found->second;
     ClaimReason reason = ClaimReason::kUnowned;
     if (IsOwn(*ownership, runner.id) ||
-        !IsClaimable(*ownership, row, hosts, now, &reason)) {
+        !IsClaimable(*ownership, runner.id, row, hosts, now, &reason)) {
       ownership->unowned_since.erase(runner.id);
       continue;
     }
     const Time since =
         ownership->unowned_since.try_emplace(runner.id, now).first->second;
-    const Duration pause = reason == ClaimReason::kOwnerLeft
-                               ? kRestartGracePeriod
-                               : Duration::zero();
+    const Duration pause = ClaimPause(*ownership, row, reason, now);
+    const bool is_former_owner = reason == ClaimReason::kRestarted ||
+                                 reason == ClaimReason::kStoreRestored;
     const bool may_claim =
-        reason == ClaimReason::kRestarted ||
-        (now - ownership->started >= kPeerDiscoveryWindow &&
-         now - since >= pause + kClaimRankDelay *
-                                    ClaimRank(*ownership, runner, hosts, now));
+        is_former_owner
+            ? now - since >= pause
+            : now - ownership->started >= kPeerDiscoveryWindow &&
+                  now - since >=
+                      pause + kClaimRankDelay *
+                                  ClaimRank(*ownership, runner, hosts, now);
     if (may_claim) {
-      const Duration wait = ClaimWait(*ownership, row, reason, now);
+      const Duration wait = ClaimWait(*ownership, runner.id, row, reason, now);
       claims.push_back(
           {runner.id, row.is_removed ? 0 : row.version, reason, wait});
     }
@@ -226,6 +267,14 @@
     ownership->era_wait_until =
         now + WaitForOwner(ClaimReason::kOwnerSilent, ownership->lease);
   }
+  ownership->kept_rights.clear();
+  if (now < ownership->contact + kOrderContactTimeout) {
+    for (const auto& [runner, right] : ownership->order_rights) {
+      if (IsOwn(*ownership, runner)) {
+        ownership->kept_rights[runner] = right.from;
+      }
+    }
+  }
   ownership->era = era;
   ownership->rows.clear();
   ownership->order_rights.clear();
@@ -240,6 +289,7 @@
       ownership->session, ownership->address, version, claim.wait, now, false,
       ownership->era};
   ownership->unowned_since.erase(claim.runner);
+  ownership->kept_rights.erase(claim.runner);
   ownership->order_rights[claim.runner] = {
       now + claim.wait, FenceNumber(ownership->era, version)};
 }
@@ -278,6 +328,9 @@
   const Time first_seen = is_known ? known.first_seen : now;
   known = row;
   known.first_seen = first_seen;
+  if (IsOfEra(row, *ownership)) {
+    ownership->kept_rights.erase(runner);
+  }
   if (row.session != ownership->session) {
     ownership->order_rights.erase(runner);
   }
@@ -293,6 +346,7 @@
     return;
   }
   known->second = {"", "", version, Duration::zero(), now, true};
+  ownership->kept_rights.erase(runner);
   ownership->order_rights.erase(runner);
 }
 
@@ -331,6 +385,7 @@
   const auto right = ownership.order_rights.find(runner);
   return IsOwn(ownership, runner) && right != ownership.order_rights.end() &&
          now >= right->second.from &&
+         ownership.contact >= right->second.from - ownership.lease &&
          now < ownership.contact + kOrderContactTimeout;
 }
 
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -16,11 +16,13 @@
 //    at another address. A row without a wait says so from its write on.
 //  - An owner gives orders only after its row's wait, and only within
 //    kOrderContactTimeout of sending a request whose answer showed its row.
-//  - A host has no right to order by a row of an earlier era of the store,
-//  which
-//    may have been replaced by one that the store has lost. Who claims such a
-//    row, or one that is missing, waits until no owner of an earlier era has
-//    contact. Fencing numbers begin with the era, so that they never go down.
+//  - A host has no right to order by a row of an earlier era of the store. That
+//    row may have been replaced by one that the store has lost. Who claims it,
+//    or one that is missing, waits until no owner of an earlier era has
+//    contact, unless it was that owner itself. Fencing numbers begin with the
+//    era, so that they never go down.
+//  - The first order of an owner needs an answer of the store that is at most a
+//    lease older than the end of its wait.
 //  - Rows are not removed. A missing row means that the runner never had an
 //    owner, unless this process has seen it go.
 //
@@ -103,6 +105,9 @@
   int64_t era = 0;  // of the store
   // Owners of an earlier era may give orders until a lease before this.
   Time era_wait_until;
+  // Runners that this host could give orders to when the era began, and from
+  // when on. It may go on once it has claimed them in this era.
+  std::map<std::string, Time> kept_rights;
 };
 
 // Records that the store is in `era`. All rows of an earlier one are forgotten
@@ -121,7 +126,8 @@
   kRestarted,
   kOwnerLeft,
   kOwnerSilent,
-  kRowRemoved,  // by another program
+  kRowRemoved,     // by another program
+  kStoreRestored,  // this host was the owner before
 };
 
 std::string_view ClaimReasonName(ClaimReason reason);
