Log what an attempt's head and connection were

The logs could not tell an honest refusal from a head that was read from parts of two answers, nor when the connection of an attempt was closed.

attempt lines get connection_end (kept, closed, open), stamp (the head bore the runner's signature) and joined (its reason phrase or a value has the text of another status line).

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -534,9 +534,15 @@
     if (const Error* error = Failure(head)) {
       outcome = MakeOutcome(AttemptEnd::kUnknown, error->message);
     } else {
-      return_send.RecordHead(IsGoodAnswer(std::get<MatchedHead>(head)));
-      outcome = co_await HandleAnswer(
-          call, exchange, std::move(std::get<MatchedHead>(head)), view, load);
+      MatchedHead& matched = std::get<MatchedHead>(head);
+      return_send.RecordHead(IsGoodAnswer(matched));
+      const bool has_stamp =
+          platform::ParseRunnerAnswer(matched.head).has_stamp;
+      const bool contains_status_line = matched.head.contains_status_line;
+      outcome =
+          co_await HandleAnswer(call, exchange, std::move(matched), view, load);
+      outcome.has_stamp = has_stamp;
+      outcome.contains_status_line = contains_status_line;
     }
   }
   if (outcome.end != AttemptEnd::kAnswered &&
@@ -548,6 +554,7 @@
   outcome.is_closed_by_peer = exchange.is_closed_by_peer();
   outcome.is_new_connection = !exchange.reused();
   outcome.earlier_answers = exchange.earlier_answers();
+  outcome.connection_end = exchange.connection_end();
   call.sends += exchange.may_have_reached() ? 1 : 0;
   call.runs += outcome.end == AttemptEnd::kNotRun ? 0 : 1;
   RecordRunnerHealth(call, outcome, exchange, view);
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -74,9 +74,13 @@
   bool lacks_adapter = false;      // refused: adapter or version is not loaded
   // Refused, but not provably: the request may have run.
   bool is_unproven_refusal = false;
+  // Of the answer's head, if there was one.
+  bool has_stamp = false;
+  bool contains_status_line = false;
   // Of the connection that was used.
   bool is_new_connection = false;
   int earlier_answers = 0;
+  ConnectionEnd connection_end = ConnectionEnd::kClosed;
 };
 
 // Sends the call to `runner`, an id in `daemon->runners`, and forwards the
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -487,6 +487,9 @@
                   {"sends", call.sends},
                   {"connection", outcome.is_new_connection ? "new" : "reused"},
                   {"earlier_answers", outcome.earlier_answers},
+                  {"connection_end", ConnectionEndName(outcome.connection_end)},
+                  {"stamp", outcome.has_stamp ? 1 : 0},
+                  {"joined", outcome.contains_status_line ? 1 : 0},
                   {"parts", JoinedParts(call)},
                   {"why", outcome.reason}});
 }
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -157,8 +157,19 @@
 struct HttpHead {
   int status = 0;
   Headers headers;
+  // Its reason phrase or the value of a field has the text of a status line.
+  bool contains_status_line = false;
 };
 
+// Where the connection of an exchange is at its end.
+enum class ConnectionEnd {
+  kKept,    // idle in the pool
+  kClosed,  // by this host, or never opened
+  kOpen,    // neither: it is closed with the exchange or with its upload
+};
+
+std::string_view ConnectionEndName(ConnectionEnd end);
+
 // Idle connections, newest last, by address.
 struct HttpPool {
   struct Idle {
@@ -218,6 +229,8 @@
   // Closes the connection. An operation in progress ends with an error.
   void Cancel();
 
+  ConnectionEnd connection_end() const;
+
  private:
   awaitable<Result<Done>> Connect();
   awaitable<Result<Done>> SendRequest();
@@ -244,6 +257,7 @@
   int earlier_answers_ = 0;
   bool is_refused_ = false;
   bool is_closed_by_peer_ = false;
+  bool is_kept_ = false;
 };
 
 struct HttpAnswer {
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <array>
 
+#include "rosemaryhook/answer_head.h"
+#include "rosemaryhook/enum_names.h"
 #include "rosemaryhook/http.h"
 
 namespace rosemaryhook {
@@ -31,6 +33,12 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 
+constexpr NameTable<ConnectionEnd, 3> kConnectionEndNames{{
+    {ConnectionEnd::kKept, "kept"},
+    {ConnectionEnd::kClosed, "closed"},
+    {ConnectionEnd::kOpen, "open"},
+}};
+
 void EnableDeadPeerDetection(tcp::socket* socket) {
   const int fd = socket->native_handle();
   const auto set = [fd](int level, int option, int value) {
@@ -212,8 +220,10 @@
   }
   HttpHead head;
   head.status = static_cast<int>(parser_->get().result_int());
+  head.contains_status_line = ContainsStatusLine(parser_->get().reason());
   for (const auto& field : parser_->get()) {
     head.headers.emplace_back(field.name_string(), field.value());
+    head.contains_status_line |= ContainsStatusLine(field.value());
   }
   co_return head;
 }
@@ -285,6 +295,7 @@
       const Time now = Now();
       idle.push_back(
           {std::move(stream_), now, now + idle_timeout_, earlier_answers_ + 1});
+      is_kept_ = true;
     }
   }
   co_return std::string();
@@ -296,6 +307,18 @@
   }
 }
 
+ConnectionEnd HttpExchange::connection_end() const {
+  if (is_kept_) {
+    return ConnectionEnd::kKept;
+  }
+  return stream_ && stream_->socket().is_open() ? ConnectionEnd::kOpen
+                                                : ConnectionEnd::kClosed;
+}
+
+std::string_view ConnectionEndName(ConnectionEnd end) {
+  return NameOf(kConnectionEndNames, end);
+}
+
 bool IsOk(const Result<HttpAnswer>& fetched) {
   const auto* answer = std::get_if<HttpAnswer>(&fetched);
   return answer != nullptr && answer->status == 200;
