Show that heads made of two answers repeat requests

Callers: a booking or a stream that may run once runs twice, is refused though it ran, or gets the status of another answer; requests find no server since two were believed to leave.

run_once/a_runner_is_left_before_another_one_goes_on rules out, for eight ways in which an attempt ends, that a resumable stream goes on while its first runner's connection is open: it passes before any change.

--- a/rosemaryhook/testing/run_once_process_test.cc
+++ b/rosemaryhook/testing/run_once_process_test.cc
@@ -211,6 +211,127 @@
   BOOST_TEST(served > kCallers * kRequestsPerCaller / 4);
 }
 
+// How a runner answers a stream that goes on at another one while it still
+// works. None of these answers is complete.
+struct UnfinishedAnswer {
+  const char* name;
+  std::function<std::string(const std::string& id)> bytes;
+};
+
+std::vector<UnfinishedAnswer> UnfinishedAnswers() {
+  const std::string events =
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "13\r\nid: 1\ndata: first\n\n\r\n";
+  const auto head = [](const std::string& status, const std::string& headers) {
+    return "HTTP/1.1 " + status + "\r\n" + headers;
+  };
+  const std::string foreign =
+      MakeAnswer("200 OK", IdHeaders("other"), "another request's");
+  return {
+      {"malformed chunk",
+       [=](const auto& id) {
+         return head("200 OK", IdHeaders(id) + events + "malformed\r\n");
+       }},
+      {"no answer", [](const auto&) { return "malformed\r\n\r\n"; }},
+      {"only foreign answers",
+       [=](const auto&) { return foreign + foreign + foreign + foreign; }},
+      {"no signature",
+       [=](const auto& id) { return head("200 OK", OwnId(id) + events); }},
+      {"encoded",
+       [=](const auto& id) {
+         return head("200 OK",
+                     IdHeaders(id) + "Content-Encoding: br\r\n" + events);
+       }},
+      {"mark on a success",
+       [=](const auto& id) {
+         return head("200 OK", kMark + IdHeaders(id) + events);
+       }},
+      {"refusal without the mark",
+       [=](const auto& id) {
+         return head(kUnavailable, OwnId(id) + events + "malformed\r\n");
+       }},
+      {"refusal longer than any",
+       [=](const auto& id) {
+         return head(kUnavailable, kMark + OwnId(id) +
+                                       "Content-Length: 1000000\r\n\r\n" +
+                                       std::string(100'000, 'x'));
+       }},
+  };
+}
+
+// Guards against a stream that goes on at a second runner while the first one
+// still works on it.
+BOOST_AUTO_TEST_CASE(a_runner_is_left_before_another_one_goes_on) {
+  constexpr int kRepeats = 3;
+  constexpr int kRunners = 4;
+  // The platform's rule for a runner that is still at work.
+  constexpr Duration kBound = std::chrono::milliseconds(400);
+  Site site({.port = 20700, .hosts = 1, .runners = 0, .services = 0});
+  RunLedger ledger;
+  std::mutex mutex;
+  const UnfinishedAnswer* unfinished = nullptr;
+  std::map<std::string, Time> left;
+  std::map<std::string, Time> gone_on;
+  const auto handler =
+      [&](const ScriptedRequest& request) -> ScriptedServer::Answer {
+    const std::string id(request["X-Attempt-Id"]);
+    if (id.empty()) {  // a host asks for a report
+      return {MakeAnswer("404 Not Found", "", "")};
+    }
+    const std::scoped_lock lock(mutex);
+    ledger.Add(id);
+    if (ledger.Runs(id) > 1) {
+      gone_on.emplace(id, Now());
+      return {MakeAnswer("200 OK",
+                         IdHeaders(id) + "Content-Type: text/event-stream\r\n",
+                         "id: 2\ndata: second\n\n")};
+    }
+    ScriptedServer::Answer answer{unfinished->bytes(id)};
+    answer.on_closed_by_caller = [&, id] {
+      const std::scoped_lock left_lock(mutex);
+      left.emplace(id, Now());
+    };
+    return answer;
+  };
+  std::vector<std::unique_ptr<ScriptedServer>> runners;
+  for (int i = 0; i < kRunners; ++i) {
+    runners.push_back(
+        std::make_unique<ScriptedServer>(site.Backend(i), handler));
+    Json entry = ServerEntry("chat", site.Backend(i));
+    entry["models"] = Json::array(
+        {{{"name", "base"}, {"version", 1}, {"adapters", {"a1@1"}}}});
+    site.Set("servers", "i-unfinished-" + std::to_string(i), entry);
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  int continued = 0;
+  const std::vector<UnfinishedAnswer> all = UnfinishedAnswers();
+  for (const UnfinishedAnswer& answer : all) {
+    {
+      const std::scoped_lock lock(mutex);
+      unfinished = &answer;
+    }
+    for (int i = 0; i < kRepeats; ++i) {
+      const std::string id = "left-" + std::to_string(&answer - all.data()) +
+                             "-" + std::to_string(i);
+      site.AskResumable(0, id, "a1");
+      std::this_thread::sleep_for(kBound);
+      const std::scoped_lock lock(mutex);
+      const auto second = gone_on.find(id);
+      if (second == gone_on.end()) {
+        continue;
+      }
+      ++continued;
+      const auto first = left.find(id);
+      BOOST_TEST(
+          (first != left.end() && first->second <= second->second + kBound),
+          answer.name);
+    }
+    gone_on.clear();
+    left.clear();
+  }
+  BOOST_TEST(continued >= kRepeats * 4);
+}
+
 // A runner that reads the head of one request, begins a stream, breaks it off
 // with a malformed chunk and only then reads on, until the connection ends.
 class StallingRunner {
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -44,14 +44,19 @@
   beast::flat_buffer buffer;
   beast::error_code ec;
   std::string late;
+  std::function<void()> on_closed_by_caller;
   while (!ec) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     http::read(*socket, buffer, parser, ec);
     if (ec) {
+      if (on_closed_by_caller) {
+        on_closed_by_caller();
+      }
       return;
     }
     const Answer answer = handler_(parser.get());
+    on_closed_by_caller = answer.on_closed_by_caller;
     if (!late.empty()) {
       asio::write(*socket, asio::buffer(late), ec);
       std::this_thread::sleep_for(kLateLead);
--- a/rosemaryhook/testing/scripted_server.h
+++ b/rosemaryhook/testing/scripted_server.h
@@ -34,6 +34,9 @@
     bool closes = false;  // the connection after the answer
     std::string late;     // written just before the next answer
     bool resets = false;  // the connection, where it is closed
+    // Called once the caller has closed the connection, if no other request
+    // came before that.
+    std::function<void()> on_closed_by_caller;
   };
   using Handler = std::function<Answer(const ScriptedRequest& request)>;
 
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,7 +1,8 @@
 # Unit tests, which run in virtual time; one ctest entry per suite.
 set(UNIT_SUITES
   adapter_demand adapter_plan answer_head answer_match api backend_state claims contact deployment
-  direct_state event_splitter fleet_state http_io idempotency load_pacing
+  direct_state event_splitter fleet_state http_io idempotency joined_heads
+  load_pacing
   list_trust membership peer_backlog peer_reads placement platform_codec rates
   prompt_suspects repeat_limits retries routing runner_choice runner_ownership
   runner_ownership_leaving send_pause send_rate settings statements store_era sheet silent_connections stream_stalls
@@ -23,7 +24,7 @@
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
   takeover odd_rows late_refusals broken_streams run_once
-  named_limits leaving_servers paused_servers outdated_lists restored_store planned_stop cut_heads fault_proxy)
+  named_limits leaving_servers paused_servers outdated_lists restored_store planned_stop cut_heads joined_heads fault_proxy)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -88,6 +89,7 @@
   run_once/a_late_answer_without_an_id_repeats_no_booking
   run_once/no_mixture_of_answers_runs_a_request_twice
   run_once/a_runner_that_broke_off_gets_no_more_of_the_body
+  run_once/a_runner_is_left_before_another_one_goes_on
   named_limits/all_hosts_together_keep_to_a_named_limit
   named_limits/requests_above_all_limits_are_refused_at_once
   leaving_servers/nothing_is_sent_after_an_answer_says_that_it_leaves
@@ -100,6 +102,8 @@
   planned_stop/a_request_completed_late_is_answered_or_refused
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
   cut_heads/a_head_that_is_cut_is_no_answer
+  joined_heads/the_beginning_of_an_earlier_answer_repeats_no_request
+  joined_heads/no_part_of_an_earlier_answer_repeats_a_request
   fault_proxy/a_process_keeps_no_reset_connection_open)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
