Take no head that was read from parts of two answers

Callers saw a booking or a stream that may run once run twice, a refusal of what had run, or the status of another answer.

Cause: identity was inferred from the place of bytes in a shared stream, here within one head. A server that writes additional bytes may cut them anywhere. The beginning of an earlier refusal, cut in its reason phrase or in a value, is completed by the next answer: the status and the mark are the refusal's, the id is the waiting request's, and MatchAnswer takes that for a proof.

Change: HttpExchange, which reads the answers of backend servers, of the store and of other hosts, fails on a head whose reason phrase or value contains a status line. The parser fails by itself where the cut is elsewhere in a head. A server echoes the caller's id, so an id that contains one is refused with 400.

--- a/rosemaryhook/answer_head.cc
+++ b/rosemaryhook/answer_head.cc
@@ -1,6 +1,9 @@
-// A status line is looked for from its version to the digits of its status
-// (RFC 9112, 4). A field that only names a protocol, as Via and Upgrade do,
-// does not contain one.
+// Where an incomplete head is followed by a whole answer, the status line of
+// that answer becomes part of a reason phrase, of a name or of a value. A name
+// with a slash is a parser's error, so the other two remain. A status line is
+// looked for from its version to the digits of its status (RFC 9112, 4). A
+// field that only names a protocol, as Via and Upgrade do, does not contain
+// one.
 #include "rosemaryhook/answer_head.h"
 
 #include <algorithm>
--- a/rosemaryhook/answer_head.h
+++ b/rosemaryhook/answer_head.h
@@ -1,6 +1,11 @@
 // Recognizes a head that was read from parts of two answers.
 //
-//   head.contains_status_line |= ContainsStatusLine(field.value());
+//   is_joined = is_joined || ContainsStatusLine(field.value());
+//
+// Failure pattern: a faulty backend server writes bytes after a complete
+// answer, and they end within a head. The next answer on the connection
+// completes that head, which then has the status of one answer and the id of
+// another.
 #ifndef ROSEMARYHOOK_ANSWER_HEAD_H_
 #define ROSEMARYHOOK_ANSWER_HEAD_H_
 
--- a/rosemaryhook/direct_admission.cc
+++ b/rosemaryhook/direct_admission.cc
@@ -1,5 +1,6 @@
 #include "rosemaryhook/direct_admission.h"
 
+#include "rosemaryhook/answer_head.h"
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -101,6 +102,10 @@
   if (call->headers.request_id.empty()) {
     return MakeDirectRefusal(400, "no_request_id");
   }
+  // A backend server echoes it, and its answer would be no head.
+  if (ContainsStatusLine(call->headers.request_id)) {
+    return MakeDirectRefusal(400, "unusable_request_id");
+  }
   if (call->headers.is_ambiguous) {
     return MakeDirectRefusal(400, "doubled_header");
   }
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -538,11 +538,9 @@
       return_send.RecordHead(IsGoodAnswer(matched));
       const bool has_stamp =
           platform::ParseRunnerAnswer(matched.head).has_stamp;
-      const bool contains_status_line = matched.head.contains_status_line;
       outcome =
           co_await HandleAnswer(call, exchange, std::move(matched), view, load);
       outcome.has_stamp = has_stamp;
-      outcome.contains_status_line = contains_status_line;
     }
   }
   if (outcome.end != AttemptEnd::kAnswered &&
@@ -553,6 +551,7 @@
   outcome.is_connection_refused = exchange.is_refused();
   outcome.is_closed_by_peer = exchange.is_closed_by_peer();
   outcome.is_new_connection = !exchange.reused();
+  outcome.has_joined_head = exchange.has_joined_head();
   outcome.earlier_answers = exchange.earlier_answers();
   outcome.connection_end = exchange.connection_end();
   call.sends += exchange.may_have_reached() ? 1 : 0;
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -76,7 +76,7 @@
   bool is_unproven_refusal = false;
   // Of the answer's head, if there was one.
   bool has_stamp = false;
-  bool contains_status_line = false;
+  bool has_joined_head = false;
   // Of the connection that was used.
   bool is_new_connection = false;
   int earlier_answers = 0;
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -489,7 +489,7 @@
                   {"earlier_answers", outcome.earlier_answers},
                   {"connection_end", ConnectionEndName(outcome.connection_end)},
                   {"stamp", outcome.has_stamp ? 1 : 0},
-                  {"joined", outcome.contains_status_line ? 1 : 0},
+                  {"joined", outcome.has_joined_head ? 1 : 0},
                   {"parts", JoinedParts(call)},
                   {"why", outcome.reason}});
 }
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -157,8 +157,6 @@
 struct HttpHead {
   int status = 0;
   Headers headers;
-  // Its reason phrase or the value of a field has the text of a status line.
-  bool contains_status_line = false;
 };
 
 // Where the connection of an exchange is at its end.
@@ -184,7 +182,8 @@
   uint64_t discarded = 0;  // connections closed since another was silent
 };
 
-// One request and its response.
+// One request and its response. A head that was read from parts of two answers
+// (answer_head.h) is an error.
 class HttpExchange {
  public:
   explicit HttpExchange(HttpPool* pool);
@@ -214,6 +213,9 @@
   // Whether the peer closed the connection before the end of the answer.
   bool is_closed_by_peer() const { return is_closed_by_peer_; }
 
+  // Whether the newest head was read from parts of two answers.
+  bool has_joined_head() const { return has_joined_head_; }
+
   // Whether the answer has neither a length nor chunks.
   bool ends_with_connection() const { return parser_->need_eof(); }
 
@@ -258,6 +260,7 @@
   bool is_refused_ = false;
   bool is_closed_by_peer_ = false;
   bool is_kept_ = false;
+  bool has_joined_head_ = false;
 };
 
 struct HttpAnswer {
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -220,10 +220,14 @@
   }
   HttpHead head;
   head.status = static_cast<int>(parser_->get().result_int());
-  head.contains_status_line = ContainsStatusLine(parser_->get().reason());
+  has_joined_head_ = ContainsStatusLine(parser_->get().reason());
   for (const auto& field : parser_->get()) {
     head.headers.emplace_back(field.name_string(), field.value());
-    head.contains_status_line |= ContainsStatusLine(field.value());
+    has_joined_head_ |= ContainsStatusLine(field.value());
+  }
+  if (has_joined_head_) {
+    co_return Error{Step::kReceive, call_.address,
+                    "the head is of two answers"};
   }
   co_return head;
 }
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -103,6 +103,7 @@
   planned_stop/a_request_without_an_answer_is_answered_before_the_exit
   cut_heads/a_head_that_is_cut_is_no_answer
   joined_heads/the_beginning_of_an_earlier_answer_repeats_no_request
+  joined_heads/an_id_with_a_status_line_is_refused
   joined_heads/no_part_of_an_earlier_answer_repeats_a_request
   fault_proxy/a_process_keeps_no_reset_connection_open)
 foreach(test ${PROCESS_TESTS})
