End a read behind an answer that ends with its connection

Callers waited until their deadline (504) where a server wrote an answer to another request without a length: it ends with its connection, so no answer to this one can follow.

Cause: ReadNextHead read on. Where the server kept the connection open, the next answer became part of that body; where it closed it, the second read after the end of the stream waited for the deadline, since no further event comes from the socket.

Test: joined_heads/nothing_is_read_after_an_answer_without_a_length took 15 s before (it failed), 0 s after. unit.joined_heads: 213 s before, 14 s after.

--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -194,7 +194,8 @@
   awaitable<Result<std::string>> ReadChunk();
 
   // Skips the rest of this answer and reads the head of the next one on the
-  // same connection. For an answer that belongs to another request.
+  // same connection. For an answer that belongs to another request. Fails at
+  // once if this answer ends with its connection.
   awaitable<Result<HttpHead>> ReadNextHead();
 
   // Sets how long the connection may be kept for reuse, from the peer's
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -254,6 +254,10 @@
 }
 
 awaitable<Result<HttpHead>> HttpExchange::ReadNextHead() {
+  if (ends_with_connection()) {
+    co_return Error{Step::kReceive, call_.address,
+                    "the connection ends with an answer to another request"};
+  }
   std::string chunk(kChunkBytes, '\0');
   while (!parser_->is_done()) {
     auto& body = parser_->get().body();
--- a/rosemaryhook/testing/joined_heads_test.cc
+++ b/rosemaryhook/testing/joined_heads_test.cc
@@ -245,6 +245,20 @@
   }
 }
 
+// Guards against a request that waits until its deadline behind an answer to
+// another one: an answer without a length ends with its connection, so that
+// none follows it.
+BOOST_AUTO_TEST_CASE(nothing_is_read_after_an_answer_without_a_length) {
+  BytesServer server;
+  const Time start = Now();
+  for (const WholeAnswer& own : OwnAnswers()) {
+    BOOST_TEST(!CheckOwnHead(
+        &server, {"HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\nanother body"},
+        own));
+  }
+  BOOST_TEST((Now() - start < std::chrono::seconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
