Take a refusal that bears a run's signature for no proof

Callers: an attempt could be repeated on a head that says both that its request has not run and, by the signature, that it has.

Cause: MatchAnswer looked at the mark and the id only. A contradiction proves neither.

Test: three cases of answer_match/a_refusal_needs_proof failed before, pass now.

--- a/rosemaryhook/answer_match.cc
+++ b/rosemaryhook/answer_match.cc
@@ -27,14 +27,14 @@
   if (IsInterim(answer.status)) {
     return AnswerMatch::kSkipped;
   }
+  const bool is_not_run = answer.is_not_run && !answer.has_stamp;
   const bool makes_statement = answer.is_not_run || answer.is_contradictory;
   if (answer.request_id.empty() && !own_id.empty()) {
     if (!makes_statement) {
       return AnswerMatch::kSkipped;
     }
-    return answer.is_not_run && answer.is_first_on_connection
-               ? AnswerMatch::kNotRun
-               : AnswerMatch::kUnproven;
+    return is_not_run && answer.is_first_on_connection ? AnswerMatch::kNotRun
+                                                       : AnswerMatch::kUnproven;
   }
   if (answer.request_id != own_id) {
     return AnswerMatch::kSkipped;
@@ -42,7 +42,7 @@
   if (!makes_statement) {
     return AnswerMatch::kOwn;
   }
-  return answer.is_not_run ? AnswerMatch::kNotRun : AnswerMatch::kUnproven;
+  return is_not_run ? AnswerMatch::kNotRun : AnswerMatch::kUnproven;
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/answer_match.h
+++ b/rosemaryhook/answer_match.h
@@ -25,6 +25,7 @@
   bool is_not_run = false;  // says that its request has not run
   // Bears that statement in a form that contradicts the rest of its head.
   bool is_contradictory = false;
+  bool has_stamp = false;  // bears the signature of a run
   // Whether its connection was opened for this attempt and delivered nothing
   // before it.
   bool is_first_on_connection = false;
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -210,7 +210,8 @@
     }
     const AnswerMatch match =
         MatchAnswer({head.status, answer.request_id, answer.is_not_run,
-                     answer.is_contradictory, i == 0 && !exchange.reused()},
+                     answer.is_contradictory, answer.has_stamp,
+                     i == 0 && !exchange.reused()},
                     call.headers.request_id);
     RecordStatements(
         {call.last_runner, call.attempt_start_ms}, answer,
--- a/rosemaryhook/testing/answer_match_test.cc
+++ b/rosemaryhook/testing/answer_match_test.cc
@@ -14,26 +14,32 @@
     AnswerMatch expected;
   };
   const std::vector<Case> cases{
-      // status, id, not run, contradictory, first on its connection
-      {{200, "own", false, false, false}, AnswerMatch::kOwn},
-      {{500, "own", false, false, true}, AnswerMatch::kOwn},
-      {{503, "own", true, false, false}, AnswerMatch::kNotRun},
-      {{503, "own", true, false, true}, AnswerMatch::kNotRun},
-      {{200, "own", false, true, true}, AnswerMatch::kUnproven},
-      {{500, "own", false, true, false}, AnswerMatch::kUnproven},
-      {{200, "other", false, false, true}, AnswerMatch::kSkipped},
-      {{503, "other", true, false, true}, AnswerMatch::kSkipped},
-      {{503, "other", false, true, true}, AnswerMatch::kSkipped},
-      {{200, "", false, false, true}, AnswerMatch::kSkipped},
-      {{503, "", false, false, true}, AnswerMatch::kSkipped},
-      {{503, "", true, false, true}, AnswerMatch::kNotRun},
-      {{503, "", true, false, false}, AnswerMatch::kUnproven},
-      {{200, "", false, true, true}, AnswerMatch::kUnproven},
-      {{200, "", false, true, false}, AnswerMatch::kUnproven},
-      {{100, "", false, false, true}, AnswerMatch::kSkipped},
-      {{103, "own", false, false, true}, AnswerMatch::kSkipped},
-      {{103, "own", false, true, true}, AnswerMatch::kSkipped},
-      {{103, "", false, true, true}, AnswerMatch::kSkipped},
+      // status, id, not run, contradictory, stamp, first on its connection
+      {{200, "own", false, false, false, false}, AnswerMatch::kOwn},
+      {{500, "own", false, false, false, true}, AnswerMatch::kOwn},
+      {{503, "own", true, false, false, false}, AnswerMatch::kNotRun},
+      {{503, "own", true, false, false, true}, AnswerMatch::kNotRun},
+      {{200, "own", false, true, false, true}, AnswerMatch::kUnproven},
+      {{500, "own", false, true, false, false}, AnswerMatch::kUnproven},
+      {{200, "other", false, false, false, true}, AnswerMatch::kSkipped},
+      {{503, "other", true, false, false, true}, AnswerMatch::kSkipped},
+      {{503, "other", false, true, false, true}, AnswerMatch::kSkipped},
+      {{200, "", false, false, false, true}, AnswerMatch::kSkipped},
+      {{503, "", false, false, false, true}, AnswerMatch::kSkipped},
+      {{503, "", true, false, false, true}, AnswerMatch::kNotRun},
+      {{503, "", true, false, false, false}, AnswerMatch::kUnproven},
+      {{200, "", false, true, false, true}, AnswerMatch::kUnproven},
+      {{200, "", false, true, false, false}, AnswerMatch::kUnproven},
+      {{100, "", false, false, false, true}, AnswerMatch::kSkipped},
+      {{103, "own", false, false, false, true}, AnswerMatch::kSkipped},
+      {{103, "own", false, true, false, true}, AnswerMatch::kSkipped},
+      {{103, "", false, true, false, true}, AnswerMatch::kSkipped},
+      // A request that has not run is not signed.
+      {{503, "own", true, false, true, false}, AnswerMatch::kUnproven},
+      {{503, "own", true, false, true, true}, AnswerMatch::kUnproven},
+      {{503, "", true, false, true, true}, AnswerMatch::kUnproven},
+      {{503, "other", true, false, true, true}, AnswerMatch::kSkipped},
+      {{200, "own", false, false, true, false}, AnswerMatch::kOwn},
   };
   for (const Case& c : cases) {
     BOOST_TEST(AnswerMatchName(MatchAnswer(c.answer, "own")) ==
@@ -47,9 +53,9 @@
 
 // A caller that sends no id gets the answers that have none.
 BOOST_AUTO_TEST_CASE(requests_without_an_id_match_answers_without_one) {
-  BOOST_TEST(
-      (MatchAnswer({200, "", false, false, true}, "") == AnswerMatch::kOwn));
-  BOOST_TEST((MatchAnswer({200, "other", false, false, true}, "") ==
+  BOOST_TEST((MatchAnswer({200, "", false, false, false, true}, "") ==
+              AnswerMatch::kOwn));
+  BOOST_TEST((MatchAnswer({200, "other", false, false, false, true}, "") ==
               AnswerMatch::kSkipped));
 }
 
