Promise that a request has not run only on proof

Callers got a 408, 421, 429 or 503 of a backend server without its mark, which promises that the request has not run; callers send such a request again, and it may have run.

Cause: an answer with the request's id and no statement was the attempt's own whatever its status, and a status of 400 to 499, or 503 after the last attempt, was passed on as it came.

Change: such a status without the mark proves nothing: the attempt's outcome is unknown, so a request that may run once gets 502, another one is repeated within its limits.

Tests, failed checks before, after: answer_match/a_refusal_needs_proof 4, 0; run_once/no_mixture_of_answers_runs_a_request_twice, with the four statuses added to its behaviours, 34, 0.

--- a/rosemaryhook/answer_match.cc
+++ b/rosemaryhook/answer_match.cc
@@ -17,6 +17,12 @@
   return status >= 100 && status < 200;
 }
 
+// The statuses with which an answer promises its caller that the request has
+// not run.
+bool IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 }  // namespace
 
 std::string_view AnswerMatchName(AnswerMatch match) {
@@ -40,7 +46,8 @@
     return AnswerMatch::kSkipped;
   }
   if (!makes_statement) {
-    return AnswerMatch::kOwn;
+    return IsPromise(answer.status) ? AnswerMatch::kUnproven
+                                    : AnswerMatch::kOwn;
   }
   return is_not_run ? AnswerMatch::kNotRun : AnswerMatch::kUnproven;
 }
--- a/rosemaryhook/answer_match.h
+++ b/rosemaryhook/answer_match.h
@@ -5,7 +5,8 @@
 //
 // Invariant: a request that may run once is sent again only if nothing of it
 // was written, or if an answer that is provably this attempt's says that it has
-// not run.
+// not run. A caller is promised that its request has not run only on the same
+// proof.
 //
 // Failure pattern: a faulty backend server writes bytes after a complete
 // answer. On a connection that is in use again they arrive where the next
--- a/rosemaryhook/testing/answer_match_test.cc
+++ b/rosemaryhook/testing/answer_match_test.cc
@@ -17,6 +17,13 @@
       // status, id, not run, contradictory, stamp, first on its connection
       {{200, "own", false, false, false, false}, AnswerMatch::kOwn},
       {{500, "own", false, false, false, true}, AnswerMatch::kOwn},
+      {{400, "own", false, false, false, false}, AnswerMatch::kOwn},
+      {{404, "own", false, false, true, false}, AnswerMatch::kOwn},
+      // Promises that the request has not run, without a proof.
+      {{408, "own", false, false, false, true}, AnswerMatch::kUnproven},
+      {{421, "own", false, false, true, true}, AnswerMatch::kUnproven},
+      {{429, "own", false, false, true, false}, AnswerMatch::kUnproven},
+      {{503, "own", false, false, true, true}, AnswerMatch::kUnproven},
       {{503, "own", true, false, false, false}, AnswerMatch::kNotRun},
       {{503, "own", true, false, false, true}, AnswerMatch::kNotRun},
       {{200, "own", false, true, false, true}, AnswerMatch::kUnproven},
--- a/rosemaryhook/testing/run_once_process_test.cc
+++ b/rosemaryhook/testing/run_once_process_test.cc
@@ -117,6 +117,13 @@
                      return {MakeAnswer(status, kMark + IdHeaders(id), "")};
                    }});
   }
+  for (const char* status : {"408 Request Timeout", "421 Misdirected Request",
+                             "429 Too Many Requests", kUnavailable}) {
+    all.push_back({"no mark", true,
+                   [status](const std::string& id) -> ScriptedServer::Answer {
+                     return {MakeAnswer(status, IdHeaders(id), "")};
+                   }});
+  }
   all.push_back({"negative mark", true,
                  [](const std::string& id) -> ScriptedServer::Answer {
                    return {MakeAnswer(kUnavailable,
