Close the connection of an attempt that was refused

Callers: none saw it. A backend server that refused a long request before it had read the body went on receiving all of it, and its connection stayed open after the request had gone on elsewhere. With a head made of two answers the "refused" server was at work on the request.

Cause: attempts that ended as not run kept their connection, whether or not their answer had been read to its end; the coroutine that sends the body held it open.

Change: every attempt that is not answered closes its connection, unless it is in the pool already, which is so if its answer was read whole and nothing is left to send.

Test: run_once/a_runner_that_refused_gets_no_more_of_the_body failed before (3,900,196 bytes of a body of 3,900,000 arrived), passes now. run_once, late_refusals and joined_heads pass.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -544,9 +544,9 @@
       outcome.has_stamp = has_stamp;
     }
   }
-  if (outcome.end != AttemptEnd::kAnswered &&
-      outcome.end != AttemptEnd::kNotRun) {
-    // A long body may still be being sent.
+  if (outcome.end != AttemptEnd::kAnswered) {
+    // A long body may still be being sent. A connection whose answer was read
+    // to its end is in the pool by now, or is closed here.
     exchange.Cancel();
   }
   outcome.is_connection_refused = exchange.is_refused();
--- a/rosemaryhook/testing/run_once_process_test.cc
+++ b/rosemaryhook/testing/run_once_process_test.cc
@@ -339,11 +339,15 @@
   BOOST_TEST(continued >= kRepeats * 4);
 }
 
-// A runner that reads the head of one request, begins a stream, breaks it off
-// with a malformed chunk and only then reads on, until the connection ends.
+// A runner that reads the head of one request, answers it and only then reads
+// on, until the connection ends.
 class StallingRunner {
  public:
-  explicit StallingRunner(const std::string& address) : acceptor_(io_) {
+  // Makes the answer to the request with this id.
+  using Answer = std::function<std::string(const std::string& id)>;
+
+  StallingRunner(const std::string& address, Answer answer)
+      : answer_(std::move(answer)), acceptor_(io_) {
     const auto endpoint = std::get<tcp::endpoint>(ParseAddress(address));
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -380,10 +384,7 @@
     has_request_ = true;
     const size_t id = data.find("X-Attempt-Id: ") + 14;
     const std::string begun =
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-        IdHeaders(data.substr(id, data.find("\r\n", id) - id)) +
-        "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: first\n\n"
-        "\r\nmalformed\r\n";
+        answer_(data.substr(id, data.find("\r\n", id) - id));
     Await(5, [this] { return may_break_off_.load(); });
     asio::write(socket, asio::buffer(begun), ec);
     Await(5, [this] { return may_read_on_.load(); });
@@ -401,6 +402,7 @@
     received_ = is_open ? -1 : total;
   }
 
+  Answer answer_;
   asio::io_context io_;
   tcp::acceptor acceptor_;
   std::atomic<bool> has_request_ = false;
@@ -410,12 +412,13 @@
   std::thread thread_;
 };
 
-// Guards against a request that goes on at a second runner while the first one
-// still receives its body, and so works on it.
-BOOST_AUTO_TEST_CASE(a_runner_that_broke_off_gets_no_more_of_the_body) {
+// Checks that a request with a long body goes on at a second runner, and that
+// the first one, which gives `answer` before it has read the body, does not get
+// all of it.
+void CheckFirstRunnerIsLeft(int port, StallingRunner::Answer answer) {
   constexpr size_t kBodyBytes = 3'900'000;
-  Site site({.port = 20000, .hosts = 1, .runners = 0, .services = 0});
-  StallingRunner stalling(site.Backend(0));
+  Site site({.port = port, .hosts = 1, .runners = 0, .services = 0});
+  StallingRunner stalling(site.Backend(0), std::move(answer));
   ScriptedServer second(
       site.Backend(1),
       [](const ScriptedRequest& request) -> ScriptedServer::Answer {
@@ -452,6 +455,24 @@
   BOOST_TEST(received < static_cast<int64_t>(kBodyBytes));
 }
 
+// Guards against a request that goes on at a second runner while the first one
+// still receives its body, and so works on it.
+BOOST_AUTO_TEST_CASE(a_runner_that_broke_off_gets_no_more_of_the_body) {
+  CheckFirstRunnerIsLeft(20000, [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+           IdHeaders(id) +
+           "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: first\n\n"
+           "\r\nmalformed\r\n";
+  });
+}
+
+// The same with a refusal: its connection stayed open while the body was sent.
+BOOST_AUTO_TEST_CASE(a_runner_that_refused_gets_no_more_of_the_body) {
+  CheckFirstRunnerIsLeft(20900, [](const std::string& id) {
+    return MakeAnswer(kUnavailable, kMark + OwnId(id), "");
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -89,6 +89,7 @@
   run_once/a_late_answer_without_an_id_repeats_no_booking
   run_once/no_mixture_of_answers_runs_a_request_twice
   run_once/a_runner_that_broke_off_gets_no_more_of_the_body
+  run_once/a_runner_that_refused_gets_no_more_of_the_body
   run_once/a_runner_is_left_before_another_one_goes_on
   named_limits/all_hosts_together_keep_to_a_named_limit
   named_limits/requests_above_all_limits_are_refused_at_once
