--- a/rosemaryhook/testing/joined_heads_process_test.cc
+++ b/rosemaryhook/testing/joined_heads_process_test.cc
@@ -112,7 +112,7 @@
       "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nServer: x",
   };
   std::string form;
-  JoiningServers servers(20200, 4, [&form] { return form; });
+  JoiningServers servers(19200, 4, [&form] { return form; });
   for (size_t f = 0; f < forms.size(); ++f) {
     form = forms[f];
     for (int i = 0; i < kRequests; ++i) {
@@ -147,7 +147,7 @@
     return bytes.substr(
         begin, kind == 1 ? std::string::npos : 1 + random() % bytes.size());
   };
-  JoiningServers servers(20700, 2, [&] {
+  JoiningServers servers(19300, 2, [&] {
     std::string bytes;
     for (size_t pieces = 1 + random() % 3; pieces > 0; --pieces) {
       bytes += part();
@@ -163,7 +163,7 @@
 // A server echoes the id of a request, so one that contains a status line must
 // not make each answer to it look like parts of two.
 BOOST_AUTO_TEST_CASE(an_id_with_a_status_line_is_refused) {
-  JoiningServers servers(20100, 4, [] { return std::string(); });
+  JoiningServers servers(19400, 4, [] { return std::string(); });
   servers.CheckRefused("HTTP/1.1 200 OK");
   servers.Check("1", false);
   servers.Check("2", true);
