--- a/rosemaryhook/testing/paused_servers_process_test.cc
+++ b/rosemaryhook/testing/paused_servers_process_test.cc
@@ -67,7 +67,8 @@
     told_[host].push_back(now);
     const double seconds = std::chrono::duration<double>(pause_).count();
     return {MakeAnswer("503 Service Unavailable",
-                       IdHeaders(id) + "X-Not-Run: 1\r\nRetry-After: " +
+                       "X-Attempt-Id: " + id +
+                           "\r\nX-Not-Run: 1\r\nRetry-After: " +
                            std::to_string(seconds) + "\r\n",
                        "")};
   }
