--- a/rosemaryhook/testing/joined_heads_test.cc
+++ b/rosemaryhook/testing/joined_heads_test.cc
@@ -194,7 +194,7 @@
   std::string headers;
   for (const auto& [name, value] : head.headers) {
     if (name != "Content-Length" && name != "Transfer-Encoding") {
-      headers += name + ": " + value + "\r\n";
+      headers.append(name).append(": ").append(value).append("\r\n");
     }
   }
   BOOST_TEST(head.status == own.status, "before the answer: " << text);
