--- a/rosemaryhook/testing/joined_heads_test.cc
+++ b/rosemaryhook/testing/joined_heads_test.cc
@@ -73,8 +73,8 @@
   };
 }
 
-// Answers each request of a connection with the next of its texts; "" stands
-// for the first answer, after which the connection is kept.
+// Gives a complete answer to the first request of a connection, writes `pieces`
+// in answer to the second one, and then ends its side of the connection.
 class BytesServer {
  public:
   BytesServer() : acceptor_(io_, {asio::ip::address_v4::loopback(), 0}) {
@@ -91,8 +91,7 @@
   BytesServer& operator=(const BytesServer&) = delete;
 
   std::string address;
-  // Written in this order in answer to each request but the first, with pauses
-  // in between.
+  // Written in this order, with pauses in between.
   std::vector<std::string> pieces;
 
  private:
