Show that callers' bytes without end are kept

A new suite sends 18 forms of requests without an end to a real server on loopback, 32 MB of each: lines and fields of a head, bodies above the limit, sizes, extensions and trailers of chunks. Each must be answered with 400, 413 or 431 within 1 s, while the server holds less than 1 MB.

--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,7 +1,7 @@
 # Unit tests, which run in virtual time; one ctest entry per suite.
 set(UNIT_SUITES
   adapter_demand adapter_plan answer_head answer_match api backend_state claims contact deployment
-  direct_state event_splitter fleet_state http_io idempotency joined_heads
+  direct_state endless_requests event_splitter fleet_state http_io idempotency joined_heads
   load_pacing
   list_trust membership peer_backlog peer_reads placement platform_codec rates
   prompt_suspects repeat_limits retries routing runner_choice runner_ownership
