Bound the lines of chunks and the trailers of requests

A caller without a key could send a chunk's size, its extensions or a trailer without an end; the server kept all of it, a gigabyte within 1.2 s, until the process ended with all other callers' requests.

The parser wants a whole line of a chunk, and a whole trailer, and the buffer in which it waits had no maximum; limits.body_bytes counts the data of chunks only. The head was bounded by the server's own loop. Ruled out: the string of the body (the same growth came with chunks of no data).

--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -11,6 +11,10 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 
+// Bytes that are read at a time, at least; a chunk's size with its extensions,
+// and a trailer, must fit into it.
+constexpr size_t kMinReadBufferBytes = 16 << 10;
+
 void SetHeaders(const Headers& headers, http::response_header<>* response) {
   for (const auto& [name, value] : headers) {
     response->set(name, value);
@@ -23,7 +27,7 @@
   if (ec == http::error::body_limit) {
     return 413;
   }
-  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+  if (ec == http::error::header_limit) {
     return 431;
   }
   if (ec == beast::error::timeout) {
@@ -265,6 +269,10 @@
                               beast::tcp_stream* stream) {
   beast::flat_buffer buffer;
   while (!server->closing) {
+    // The parser keeps a line of a chunk, or a trailer, in the buffer until it
+    // is complete.
+    buffer.max_size(std::max(
+        {server->limits.header_bytes, kMinReadBufferBytes, buffer.size()}));
     Parser parser;
     parser.body_limit(server->limits.body_bytes);
     parser.header_limit(server->limits.header_bytes);
