Bound the framing of a request by its data

A caller that sent chunks of one byte with long extensions, or with hundreds of zeros before the size, was read on until header_timeout, at the full speed of the connection, as limits.body_bytes counts the data only. The lines are short enough for the buffer, so the bound on a line does not help.

Weighed: a bound on each extension (the sum over many chunks is what costs).

--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -2,9 +2,11 @@
 // repeat while both sides keep the connection open.
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/request_framing.h"
 
 namespace rosemaryhook {
 namespace {
@@ -21,8 +23,15 @@
   }
 }
 
-// Status for a request that could not be read, 0 if the caller has disconnected
-// or sent nothing.
+// Why a request was not read.
+struct ReadFailure {
+  int status = 0;  // to answer; 0 if the caller is gone or sent nothing
+  std::string why;
+};
+
+// No value once the request is complete.
+using ReadOutcome = std::optional<ReadFailure>;
+
 int RefusalStatus(const beast::error_code& ec, bool has_bytes) {
   if (ec == http::error::body_limit) {
     return 413;
@@ -43,14 +52,14 @@
 
 awaitable<void> SendReadError(const HttpServer& server,
                               beast::tcp_stream* stream,
-                              int status,
-                              std::string message) {
+                              ReadFailure failure) {
   HttpReply reply(stream, server.limits, false);
   Headers headers{{"content-type", "text/plain"}};
+  std::string body = failure.why;
   if (server.refusal) {
-    std::tie(headers, message) = server.refusal(status, message);
+    std::tie(headers, body) = server.refusal(failure.status, failure.why);
   }
-  co_await reply.Send(status, std::move(headers), std::move(message));
+  co_await reply.Send(failure.status, std::move(headers), std::move(body));
 }
 
 using Parser = http::request_parser<http::string_body>;
@@ -184,12 +193,55 @@
   co_return timer.Outcome(ec);
 }
 
+// Parses what is in the buffer. Fails also if the framing takes too much, so
+// that chunks without data are not read without an end.
+ReadOutcome ParseBody(beast::flat_buffer* buffer,
+                      Parser* parser,
+                      BodyFraming* framing) {
+  beast::error_code ec;
+  const size_t parsed = parser->put(buffer->data(), ec);
+  buffer->consume(parsed);
+  if (ec && ec != http::error::need_more) {
+    return ReadFailure{RefusalStatus(ec, true), ec.message()};
+  }
+  framing->wire_bytes += parsed;
+  framing->data_bytes = parser->get().body().size();
+  if (IsFramingTooLong(*framing) ||
+      (!parser->is_done() && buffer->size() == buffer->max_size())) {
+    return ReadFailure{400, "chunk sizes, extensions or trailer too long"};
+  }
+  return std::nullopt;
+}
+
+awaitable<ReadOutcome> ReadBody(const HttpLimits& limits,
+                                beast::tcp_stream* stream,
+                                beast::flat_buffer* buffer,
+                                Parser* parser) {
+  const ReadTimer timer(stream, limits.header_timeout);
+  BodyFraming framing;
+  parser->eager(true);
+  while (!parser->is_done()) {
+    const ReadOutcome failure = ParseBody(buffer, parser, &framing);
+    if (failure || parser->is_done()) {
+      co_return failure;
+    }
+    auto [ec, n] = co_await stream->async_read_some(
+        buffer->prepare(buffer->max_size() - buffer->size()), kToTuple);
+    if (ec) {
+      const beast::error_code outcome = timer.Outcome(ec);
+      co_return ReadFailure{RefusalStatus(outcome, true), outcome.message()};
+    }
+    buffer->commit(n);
+  }
+  co_return std::nullopt;
+}
+
 // Reads one request. The header must arrive within header_timeout of its first
 // byte, and the body within the same time after the header.
-awaitable<beast::error_code> ReadRequest(HttpServer* server,
-                                         beast::tcp_stream* stream,
-                                         beast::flat_buffer* buffer,
-                                         Parser* parser) {
+awaitable<ReadOutcome> ReadRequest(HttpServer* server,
+                                   beast::tcp_stream* stream,
+                                   beast::flat_buffer* buffer,
+                                   Parser* parser) {
   const HttpLimits& limits = server->limits;
   if (buffer->size() == 0) {
     server->idle.insert(stream);
@@ -197,13 +249,15 @@
         co_await AwaitFirstByte(limits, stream, buffer);
     server->idle.erase(stream);
     if (ec) {
-      co_return ec;
+      co_return ReadFailure{RefusalStatus(ec, false), ec.message()};
     }
   }
   const beast::error_code header_ec =
       co_await ReadHeader(limits, stream, buffer, parser);
   if (header_ec) {
-    co_return header_ec;
+    const bool has_bytes = buffer->size() > 0 || parser->got_some();
+    co_return ReadFailure{RefusalStatus(header_ec, has_bytes),
+                          header_ec.message()};
   }
   if (parser->get()[http::field::expect] == "100-continue") {
     http::response<http::empty_body> continue_response(http::status::continue_,
@@ -211,13 +265,10 @@
     auto [ec, n] =
         co_await http::async_write(*stream, continue_response, kToTuple);
     if (ec) {
-      co_return ec;
+      co_return ReadFailure{0, ec.message()};
     }
   }
-  const ReadTimer timer(stream, limits.header_timeout);
-  auto [body_ec, body_n] =
-      co_await http::async_read(*stream, *buffer, *parser, kToTuple);
-  co_return timer.Outcome(body_ec);
+  co_return co_await ReadBody(limits, stream, buffer, parser);
 }
 
 HttpRequest ExtractRequest(Parser* parser) {
@@ -276,17 +327,15 @@
     Parser parser;
     parser.body_limit(server->limits.body_bytes);
     parser.header_limit(server->limits.header_bytes);
-    const beast::error_code ec =
+    ReadOutcome failure =
         co_await ReadRequest(server.get(), stream, &buffer, &parser);
-    if (ec) {
-      const bool has_bytes = buffer.size() > 0 || parser.got_some();
-      if (const int status = RefusalStatus(ec, has_bytes)) {
-        co_await SendReadError(*server, stream, status, ec.message());
-      }
-      co_return;
+    if (!failure && server->closing) {
+      failure = ReadFailure{503, "shutting down"};
     }
-    if (server->closing) {
-      co_await SendReadError(*server, stream, 503, "shutting down");
+    if (failure) {
+      if (failure->status != 0) {
+        co_await SendReadError(*server, stream, std::move(*failure));
+      }
       co_return;
     }
     const bool keep_alive = parser.get().keep_alive();
