--- a/rosemaryhook/testing/processes.cc
+++ b/rosemaryhook/testing/processes.cc
@@ -4,6 +4,7 @@
 #include <fmt/core.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -59,6 +60,11 @@
   return pid;
 }
 
+bool LimitMemory(pid_t pid, size_t bytes) {
+  const rlimit limit{bytes, bytes};
+  return prlimit(pid, RLIMIT_AS, &limit, nullptr) == 0;
+}
+
 int WaitFor(pid_t pid) {
   int status = 0;
   waitpid(pid, &status, 0);
--- a/rosemaryhook/testing/processes.h
+++ b/rosemaryhook/testing/processes.h
@@ -38,6 +38,9 @@
             const std::string& out,
             const std::string& err);
 
+// Bounds the address space of a process from now on. Returns false on failure.
+bool LimitMemory(pid_t pid, size_t bytes);
+
 // Waits until a process ends. Returns its exit code, or 128 + the signal
 // number.
 int WaitFor(pid_t pid);
