Refuse requests whose model's name is no text

Callers saw: after one request with X-Model: base/<byte ff>, no adapter was loaded any more on the backend server that is its home, for as long as the host lived; requests for its adapters were refused with no_runner_in_time.

Cause: EncodeOrder dumps the adapter's name as JSON, which throws for bytes that are not UTF-8. The exception left the coroutine that gives the runner its orders, and a detached coroutine ends without a trace while its entry in `owned` stays, so that no other one is started.

Change: a request whose model's name is not UTF-8 is refused with 400, since the lists of models and adapters are JSON and have no such name.

--- a/rosemaryhook/direct_admission.cc
+++ b/rosemaryhook/direct_admission.cc
@@ -109,6 +109,10 @@
   if (call->headers.is_ambiguous) {
     return MakeDirectRefusal(400, "doubled_header");
   }
+  // An order to load the adapter could not be written.
+  if (call->headers.has_unreadable_model) {
+    return MakeDirectRefusal(400, "unreadable_model");
+  }
   call->route = FindRoute(*call->deployment, HeaderOf(call->request, "Host"),
                           call->request.target);
   if (call->route == nullptr) {
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -219,6 +219,32 @@
   BOOST_TEST(!base.contains("adapter"));
 }
 
+// Guards against exceptions from names that callers chose and that are no text.
+BOOST_AUTO_TEST_CASE(names_that_are_no_text_are_marked) {
+  const std::vector<std::pair<std::string, bool>> cases{
+      {"m/a1", true},
+      {"", true},
+      {"m/\xc3\xa4", true},
+      {"m/\xf0\x9f\x90\xb7", true},
+      {"m/\xf0\x9f\x90", false},      // ends within a character
+      {"m/\xc0\xaf", false},          // longer than needed
+      {"m/\xed\xa0\x80", false},      // a surrogate
+      {"m/\xf4\x90\x80\x80", false},  // beyond the last character
+      {"\xc3/a1", false},
+  };
+  for (const auto& [model, is_text] : cases) {
+    const auto headers = ParseCallerHeaders(Request({{"X-Model", model}}));
+    BOOST_TEST(headers.has_unreadable_model == !is_text, model);
+  }
+  // Any two bytes make an order that can be written.
+  for (int bytes = 0; bytes < 0x10000; ++bytes) {
+    const std::string name{'m', '/', static_cast<char>(bytes >> 8),
+                           static_cast<char>(bytes & 0xff)};
+    const RunnerOrder order{OrderKind::kLoad, name, 0, 1, "host"};
+    BOOST_CHECK_NO_THROW(EncodeOrder(order));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_repeated_header_makes_a_request_ambiguous) {
   struct Case {
     std::string name;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -25,7 +25,8 @@
 set(PROCESS_SUITES path failure idempotency backend direct refused_host
   takeover odd_rows late_refusals broken_streams run_once
   named_limits leaving_servers paused_servers outdated_lists restored_store planned_stop cut_heads joined_heads fault_proxy
-  endless_callers)
+  endless_callers
+  ended_processes)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -109,7 +110,9 @@
   joined_heads/no_part_of_an_earlier_answer_repeats_a_request
   fault_proxy/a_process_keeps_no_reset_connection_open
   endless_callers/bytes_without_end_stop_no_other_requests
-  endless_callers/slow_bodies_stop_no_other_requests)
+  endless_callers/slow_bodies_stop_no_other_requests
+  ended_processes/no_request_ends_a_host
+  ended_processes/no_name_of_an_adapter_stops_the_orders)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
