Bound the depth of messages between hosts

Callers saw: nothing so far; one datagram of 65,000 bytes that opens an array with each byte ended the host with signal 11, and with it all its requests.

Cause: the library's CBOR reader recurses once for each level, and the stack ends before the message does. Any process that reaches the port for messages between hosts can send it, and so can a faulty host.

Ruled out: maps within maps (a key has to be text), tags (refused), lengths beyond the message and empty datagrams; they stay in the table. JSON is read without recursion (platform/bounded_json.h bounds it where it is copied).

Evidence: ended_processes/no_datagram_ends_a_host failed 2 of 8 checks before (arrays, endless arrays). platform_codec/deeply_nested_messages_are_rejected ended by a fatal error at its first row. Both pass now.

--- a/rosemaryhook/peer_connection.cc
+++ b/rosemaryhook/peer_connection.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 
+#include "rosemaryhook/bounded_cbor.h"
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/log.h"
 
@@ -39,6 +40,15 @@
   return size;
 }
 
+// A discarded value for bytes that are no message.
+json ParseMessage(std::string_view bytes) {
+  try {
+    return ParseBoundedCbor(bytes);
+  } catch (const json::exception&) {
+    return json(json::value_t::discarded);
+  }
+}
+
 nghttp2_nv MakeHeader(std::string_view name, std::string_view value) {
   auto* n = reinterpret_cast<uint8_t*>(const_cast<char*>(name.data()));
   auto* v = reinterpret_cast<uint8_t*>(const_cast<char*>(value.data()));
@@ -213,7 +223,7 @@
       }
       if (receive_buffer_.size() >= kLengthBytes + size) {
         const auto begin = receive_buffer_.begin() + kLengthBytes;
-        json message = json::from_cbor(begin, begin + size, true, false);
+        json message = ParseMessage({begin, begin + size});
         receive_buffer_.erase(0, kLengthBytes + size);
         connection_->Consume(id_, kLengthBytes + size);
         if (message.is_discarded()) {
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -2,6 +2,8 @@
 // many small messages.
 #include "rosemaryhook/peer_message.h"
 
+#include "rosemaryhook/bounded_cbor.h"
+
 namespace rosemaryhook {
 namespace {
 
@@ -203,7 +205,7 @@
 
 Result<PeerMessage> ParsePeerMessage(const std::string& bytes) {
   try {
-    return DecodeMessage(Json::from_cbor(bytes));
+    return DecodeMessage(ParseBoundedCbor(bytes));
   } catch (const Json::exception& e) {
     return Error{Step::kPeer, "", e.what()};
   }
--- a/rosemaryhook/testing/ended_processes_process_test.cc
+++ b/rosemaryhook/testing/ended_processes_process_test.cc
@@ -3,12 +3,16 @@
 #include <sys/wait.h>
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
+#include "rosemaryhook/http.h"
 #include "rosemaryhook/testing/site.h"
 
 namespace rosemaryhook::testing {
 namespace {
 
+using asio::ip::udp;
+
 bool IsRunning(const Process& process) {
   siginfo_t info{};
   return waitid(P_PID, process.pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
@@ -74,6 +78,13 @@
   return requests;
 }
 
+void SendDatagram(const std::string& address, const std::string& bytes) {
+  const auto to = std::get<tcp::endpoint>(ParseAddress(address));
+  asio::io_context io;
+  udp::socket socket(io, udp::v4());
+  socket.send_to(asio::buffer(bytes), {to.address(), to.port()});
+}
+
 BOOST_AUTO_TEST_SUITE(ended_processes)
 
 // Guards against orders that are no longer given to a backend server after one
@@ -120,6 +131,28 @@
   BOOST_TEST(site.Ask(0, "after", "a1").status == 200);
 }
 
+// Guards against a host that a datagram ends.
+BOOST_AUTO_TEST_CASE(no_datagram_ends_a_host) {
+  Site site({.port = 30200, .hosts = 1});
+  const std::string peers = "127.0.0.1:30250";
+  constexpr size_t kBytes = 65'000;
+  const std::vector<std::pair<std::string, std::string>> datagrams{
+      {"arrays", std::string(kBytes, '\x81')},
+      {"endless arrays", std::string(kBytes, '\x9f')},
+      {"maps", std::string(kBytes, '\xa1')},
+      {"tags", std::string(kBytes, '\xc1')},
+      {"long text", "\x7b\xff\xff\xff\xff\xff\xff\xff\xff"},
+      {"long array", "\x9b\xff\xff\xff\xff\xff\xff\xff\xff"},
+      {"empty", ""},
+  };
+  for (const auto& [name, bytes] : datagrams) {
+    SendDatagram(peers, bytes);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    BOOST_TEST(RestartIfEnded(site, site.host(0)), name << " ended the host");
+  }
+  BOOST_TEST(site.Ask(0, "after", "a1").status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -510,6 +510,25 @@
   BOOST_TEST((ClassifyOperatorRow("other") == OperatorRow::kOther));
 }
 
+// Guards against a stack that a deeply nested message exhausts.
+BOOST_AUTO_TEST_CASE(deeply_nested_messages_are_rejected) {
+  const std::vector<std::pair<std::string, std::string>> openings{
+      {"array", "\x81"},
+      {"endless array", "\x9f"},
+      {"map", "\xa1\x61k"},
+      {"endless map", "\xbf\x61k"},
+  };
+  for (const auto& [name, opening] : openings) {
+    std::string nested;
+    while (nested.size() + opening.size() <= 65'000) {
+      nested += opening;
+    }
+    BOOST_TEST(Failure(ParsePeerMessage(nested)) != nullptr, name);
+    BOOST_TEST(Failure(ParsePeerMessage("\xa1\x61x" + nested)) != nullptr,
+               name);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(peer_messages_round_trip_and_survive_mutation) {
   PeerMessage message;
   message.session = "s";
