Hold signals back until a daemon handles them

Operators saw: a process that ended by itself just after its start.

Cause: SIGHUP, which the platform sends when settings have changed, had its default action, the end of the process, until the event loop existed: while the settings were read and checked. SIGPIPE was ignored only from there on, SIGUSR1 and SIGUSR2 never.

Ruled out: SIGTERM and SIGINT need nothing. Before the event loop exists nothing has begun, so their default action is right.

Change: main begins by blocking SIGHUP and ignoring the others; SIGHUP is unblocked once its handler exists, so that one that came early still causes a reload. The time before main, in which the program is mapped, stays; only who starts the process could cover it.

--- a/daemon/rosemaryhookd.cc
+++ b/daemon/rosemaryhookd.cc
@@ -9,11 +9,13 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "rosemaryhook/daemon_signals.h"
 #include "rosemaryhook/direct_main.h"
 #include "rosemaryhook/relay_main.h"
 #include "rosemaryhook/settings.h"
 
 int main(int argc, char** argv) {
+  rosemaryhook::HoldSignals();
   CLI::App app("Serves callers and dispatches to the backend servers it owns");
   std::string file;
   bool check = false;
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "rosemaryhook/daemon_signals.h"
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_daemon.h"
 #include "rosemaryhook/direct_orders.h"
@@ -232,11 +233,11 @@
 }  // namespace
 
 int RunDirectDaemon(const Settings& settings, const std::string& file) {
-  std::signal(SIGPIPE, SIG_IGN);
   SetLogHost(settings.host);
   asio::io_context io(1);
   StartLogging([&io] { asio::post(io, FlushLog); });
   const auto servers = std::make_shared<DirectServers>(io);
+  ReleaseSignals();
   servers->settings_text = ReadFile(file);
   InitDaemon(settings, file, servers->daemon.get());
   const auto listening = ListenAll(servers.get());
--- a/rosemaryhook/relay_main.cc
+++ b/rosemaryhook/relay_main.cc
@@ -145,7 +145,6 @@
 }  // namespace
 
 int RunRelayDaemon(const Settings& settings) {
-  std::signal(SIGPIPE, SIG_IGN);
   SetLogHost(settings.host);
   asio::io_context io(1);
   auto servers = std::make_shared<RelayServers>();
--- a/rosemaryhook/testing/ended_processes_process_test.cc
+++ b/rosemaryhook/testing/ended_processes_process_test.cc
@@ -1,8 +1,14 @@
 // Tests of what may end a daemon or keep it from its start, with real processes
 // and a fake platform.
+#include <sys/stat.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
 #include <thread>
 
 #include "rosemaryhook/http.h"
@@ -85,6 +91,70 @@
   socket.send_to(asio::buffer(bytes), {to.address(), to.port()});
 }
 
+// A daemon whose settings the test writes.
+class LoneDaemon {
+ public:
+  explicit LoneDaemon(int port)
+      : folder_((std::filesystem::temp_directory_path() /
+                 ("rosemaryhook-lone-" + std::to_string(getpid()) + "-" +
+                  std::to_string(port)))
+                    .string()),
+        port_(port) {
+    std::filesystem::create_directories(folder_);
+    process_.name = "host0";
+    process_.command = {Program("rosemaryhookd"), "--settings", file()};
+  }
+  ~LoneDaemon() {
+    if (process_.pid > 0) {
+      kill(process_.pid, SIGKILL);
+      WaitFor(process_.pid);
+    }
+    std::filesystem::remove_all(folder_);
+  }
+  LoneDaemon(const LoneDaemon&) = delete;
+  LoneDaemon& operator=(const LoneDaemon&) = delete;
+
+  std::string file() const { return folder_ + "/host0.yaml"; }
+  std::string log() const { return ReadAll(folder_ + "/log"); }
+  Process& process() { return process_; }
+  std::string Address(int offset) const {
+    return "127.0.0.1:" + std::to_string(port_ + offset);
+  }
+
+  std::string Settings() const {
+    return "host: entry-0\nzone: zone-0\nserving: direct\ncallers: " +
+           Address(30) + "\nreadiness: " + Address(40) +
+           "\npeers: " + Address(50) + "\noperators: " + Address(60) +
+           "\ntable: " + Address(0) +
+           "\nheartbeat_ms: 500\ndrain_limit_ms: 3000\n";
+  }
+  void WriteSettings() const { std::ofstream(file()) << Settings(); }
+
+  void Start() {
+    process_.pid = Spawn(process_.command, folder_ + "/log", folder_ + "/log");
+  }
+  // Runs the daemon after `commands` of a shell, in the same process.
+  void StartAfter(const std::string& commands) {
+    process_.command = {"/bin/sh", "-c",
+                        commands + "exec " + Program("rosemaryhookd") +
+                            " --settings " + file()};
+    Start();
+  }
+
+  bool AwaitReady(int limit_s) const {
+    return Await(limit_s, [&] {
+      return Exchange(Address(40), "GET", "/v1/readyz").status == 200;
+    });
+  }
+
+ private:
+  std::string folder_;
+  int port_;
+  Process process_;
+};
+
+constexpr int kStartLimitS = 15;
+
 BOOST_AUTO_TEST_SUITE(ended_processes)
 
 // Guards against orders that are no longer given to a backend server after one
@@ -153,6 +223,69 @@
   BOOST_TEST(site.Ask(0, "after", "a1").status == 200);
 }
 
+// Guards against a process that ends by a signal which it handles later: one
+// that arrives while it still reads its settings.
+BOOST_AUTO_TEST_CASE(no_signal_at_the_start_ends_a_host) {
+  const Site site({.port = 30300, .hosts = 0});
+  for (const int signal : {SIGHUP, SIGPIPE, SIGUSR1, SIGUSR2}) {
+    LoneDaemon daemon(30300);
+    // Opening the pipe waits until the daemon reads its settings.
+    BOOST_REQUIRE(mkfifo(daemon.file().c_str(), 0600) == 0);
+    daemon.Start();
+    std::ofstream settings(daemon.file());
+    for (int i = 0; i < 3; ++i) {
+      kill(daemon.process().pid, signal);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    BOOST_TEST(IsRunning(daemon.process()), strsignal(signal)
+                                                << " while settings are read");
+    if (!IsRunning(daemon.process())) {
+      continue;
+    }
+    // Later reads are those of a file.
+    std::filesystem::remove(daemon.file());
+    daemon.WriteSettings();
+    settings << daemon.Settings();
+    settings.close();
+    BOOST_TEST(daemon.AwaitReady(kStartLimitS), strsignal(signal)
+                                                    << " during the start");
+    kill(daemon.process().pid, signal);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    BOOST_TEST(IsRunning(daemon.process()), strsignal(signal)
+                                                << " after the start");
+  }
+}
+
+// Guards against a process that ends because the one before it, or another
+// program, still has one of its ports.
+BOOST_AUTO_TEST_CASE(a_port_that_is_taken_delays_the_start) {
+  const Site site({.port = 30400, .hosts = 0});
+  for (const int offset : {30, 40, 60}) {
+    LoneDaemon daemon(30400);
+    daemon.WriteSettings();
+    asio::io_context io;
+    auto holder = std::make_unique<tcp::acceptor>(
+        io, std::get<tcp::endpoint>(ParseAddress(daemon.Address(offset))));
+    daemon.Start();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    BOOST_TEST(IsRunning(daemon.process()), "port " << offset);
+    holder.reset();
+    BOOST_TEST(daemon.AwaitReady(kStartLimitS), "port " << offset);
+  }
+  LoneDaemon daemon(30400);
+  daemon.WriteSettings();
+  asio::io_context io;
+  const auto peers = std::get<tcp::endpoint>(ParseAddress(daemon.Address(50)));
+  auto holder = std::make_unique<udp::socket>(
+      io, udp::endpoint(peers.address(), peers.port()));
+  daemon.Start();
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  BOOST_TEST(IsRunning(daemon.process()));
+  // A host that waits for its ports can be stopped.
+  kill(daemon.process().pid, SIGTERM);
+  BOOST_TEST(WaitFor(std::exchange(daemon.process().pid, 0)) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
