Wait for ports that are still taken at the start

Operators saw: a process that did not start, or ended again and again, while the one before it or another program still had one of its four ports.

Cause: the first port that could not be opened ended the process.

Ruled out: connections of the earlier process in TIME_WAIT; listening sockets have SO_REUSEADDR.

Change: opening the ports is a step of the event loop that is repeated each 0.25 s for 20 s, with a log line listen_failed, and what is open already is kept. Nothing is served and no loop starts before all four are open. After that the process ends with code 1 as before: a port that stays taken is an error of the settings that a supervisor should see. A host that waits can be stopped.

--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -39,6 +39,12 @@
 // Requests that are given up at the end are answered within this.
 constexpr Duration kGiveUpPeriod = std::chrono::milliseconds(100);
 
+// A port that another process has is tried again for this long: several times
+// what a process needs for its end after its drain limit. A supervisor sees a
+// port that stays taken by the end of this process.
+constexpr Duration kListenRetryPeriod = std::chrono::seconds(20);
+constexpr Duration kListenRetryDelay = std::chrono::milliseconds(250);
+
 constexpr Duration kSettingsPollInterval = std::chrono::seconds(2);
 
 struct DirectServers {
@@ -49,6 +55,7 @@
   asio::signal_set stop_signals;
   asio::signal_set reload_signals;
   std::string settings_text;
+  int exit_code = 0;
 
   explicit DirectServers(asio::io_context& io)
       : daemon(std::make_shared<DirectDaemon>(io)),
@@ -129,6 +136,9 @@
        {std::pair{settings.callers, servers->callers},
         std::pair{settings.readiness, servers->readiness},
         std::pair{settings.operators, servers->operators}}) {
+    if (server->acceptor != nullptr) {
+      continue;
+    }
     const auto listening = Listen(servers->daemon->io, address, server.get());
     if (const Error* error = Failure(listening)) {
       return *error;
@@ -137,6 +147,27 @@
   return OpenPeerSocket(servers->daemon.get());
 }
 
+void LogStartError(const char* event, const Error& error) {
+  Log(event, {{"step", StepName(error.step)},
+              {"peer", error.peer},
+              {"why", error.message}});
+}
+
+// Opens all ports. A port that is taken may still belong to the process before
+// this one, and is tried again.
+awaitable<Result<Done>> ListenInTime(DirectServersPtr servers) {
+  const Time deadline = Now() + kListenRetryPeriod;
+  while (true) {
+    const auto listening = ListenAll(servers.get());
+    const Error* error = Failure(listening);
+    if (error == nullptr || servers->daemon->is_stopping || Now() >= deadline) {
+      co_return listening;
+    }
+    LogStartError("listen_failed", *error);
+    co_await Sleep(kListenRetryDelay);
+  }
+}
+
 awaitable<void> Shutdown(DirectServersPtr servers) {
   const DirectDaemonPtr daemon = servers->daemon;
   const Time deadline = Now() + daemon->settings.drain_limit - kExitMargin;
@@ -150,7 +181,9 @@
   servers->callers->closing = true;
   CloseIdle(servers->callers.get());
   beast::error_code ignored;
-  servers->callers->acceptor->close(ignored);
+  if (servers->callers->acceptor != nullptr) {
+    servers->callers->acceptor->close(ignored);
+  }
   while (servers->callers->active > 0 && Now() < deadline) {
     co_await Sleep(kDrainPollInterval);
   }
@@ -230,6 +263,29 @@
   daemon->ownership.lease = settings.order_lease;
 }
 
+awaitable<void> Start(DirectServersPtr servers) {
+  const DirectDaemonPtr daemon = servers->daemon;
+  const auto listening = co_await ListenInTime(servers);
+  if (const Error* error = Failure(listening)) {
+    LogStartError("start_failed", *error);
+    servers->exit_code = 1;
+    daemon->io.stop();
+    co_return;
+  }
+  Log("start", {{"session", daemon->session},
+                {"zone", daemon->settings.zone},
+                {"callers", daemon->settings.callers},
+                {"peers", daemon->settings.peers},
+                {"store", daemon->settings.table}});
+  StartStoreLoops(daemon);
+  StartPeerLoops(daemon);
+  StartTokenRecord(daemon);
+  StartBlockingParts(daemon);
+  asio::co_spawn(daemon->io, Serve(servers->callers), asio::detached);
+  asio::co_spawn(daemon->io, Serve(servers->readiness), asio::detached);
+  asio::co_spawn(daemon->io, Serve(servers->operators), asio::detached);
+}
+
 }  // namespace
 
 int RunDirectDaemon(const Settings& settings, const std::string& file) {
@@ -240,32 +296,13 @@
   ReleaseSignals();
   servers->settings_text = ReadFile(file);
   InitDaemon(settings, file, servers->daemon.get());
-  const auto listening = ListenAll(servers.get());
-  if (const Error* error = Failure(listening)) {
-    Log("start_failed", {{"step", StepName(error->step)},
-                         {"peer", error->peer},
-                         {"why", error->message}});
-    FlushLog();
-    return 1;
-  }
-  Log("start", {{"session", servers->daemon->session},
-                {"zone", settings.zone},
-                {"callers", settings.callers},
-                {"peers", settings.peers},
-                {"store", settings.table}});
-  StartStoreLoops(servers->daemon);
-  StartPeerLoops(servers->daemon);
-  StartTokenRecord(servers->daemon);
-  StartBlockingParts(servers->daemon);
-  asio::co_spawn(io, Serve(servers->callers), asio::detached);
-  asio::co_spawn(io, Serve(servers->readiness), asio::detached);
-  asio::co_spawn(io, Serve(servers->operators), asio::detached);
+  asio::co_spawn(io, Start(servers), asio::detached);
   asio::co_spawn(io, AwaitStop(servers), asio::detached);
   asio::co_spawn(io, ReloadOnSignal(servers), asio::detached);
   asio::co_spawn(io, ReloadOnChange(servers), asio::detached);
   io.run();
   FlushLog();
-  return 0;
+  return servers->exit_code;
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -114,7 +114,8 @@
   ended_processes/no_request_ends_a_host
   ended_processes/no_name_of_an_adapter_stops_the_orders
   ended_processes/no_datagram_ends_a_host
-  ended_processes/no_signal_at_the_start_ends_a_host)
+  ended_processes/no_signal_at_the_start_ends_a_host
+  ended_processes/a_port_that_is_taken_delays_the_start)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
