Bound what the requests of all connections hold together

Also, Beast's string body reserves the length that a caller announces, so a head of 100 bytes took 1 MB of address space.

All servers of a process now count what requests hold, from the first byte to the end of the handler, against a quarter of memory_mb (a new setting, from the platform; 256 MB if it is not known). Beyond it, requests that are being read are refused, with the largest product of bytes and age first, as 503 with Retry-After 1: a long body that is sent at once is young, a short request is small, and the first 4 KB of each do not count. Weighed: the largest first (a slow caller of many small bodies stays, an honest long one goes), the oldest first (short requests on slow links go for bodies of 1 MB), no more reading (what is in the sockets counts too), a smaller limit for each body while many are read (413 is final for a caller). Heads are read in pieces of 4 KB, and the buffer is freed before the handler runs, so that idle connections hold little.

--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -99,6 +99,12 @@
   gauge("connections_discarded",
         static_cast<int64_t>(daemon.pool.discarded +
                              daemon.control_pool.discarded));
+  if (daemon.callers) {
+    const RequestMemory& memory = daemon.callers->requests->memory;
+    gauge("request_bytes_held", static_cast<int64_t>(memory.held));
+    gauge("request_bytes_limit", static_cast<int64_t>(memory.limit));
+    gauge("requests_refused_for_memory", memory.refused);
+  }
   return text;
 }
 
@@ -132,6 +138,10 @@
   servers->callers->refusal = UnreadableRequestReply;
   servers->readiness->handler = DirectReadinessHandler(servers->daemon);
   servers->operators->handler = OperatorsHandler(servers->daemon);
+  servers->callers->requests->memory.limit =
+      RequestMemoryLimit(settings.memory_mb << 20);
+  servers->readiness->requests = servers->callers->requests;
+  servers->operators->requests = servers->callers->requests;
   for (const auto& [address, server] :
        {std::pair{settings.callers, servers->callers},
         std::pair{settings.readiness, servers->readiness},
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -8,7 +8,8 @@
 //   auto chunk = co_await exchange.ReadChunk();   // "" at the end
 //
 // Everything runs on one io_context thread. Server memory is bounded by
-// HttpLimits for each connection, and connections by `max_connections`.
+// HttpLimits for each connection, connections by `max_connections`, and the
+// requests of all connections together by RequestMemory.
 #ifndef ROSEMARYHOOK_HTTP_H_
 #define ROSEMARYHOOK_HTTP_H_
 
@@ -26,6 +27,7 @@
 
 #include "rosemaryhook/dispatch_message.h"
 #include "rosemaryhook/error.h"
+#include "rosemaryhook/request_memory.h"
 #include "rosemaryhook/time.h"
 
 namespace rosemaryhook {
@@ -106,6 +108,13 @@
     std::function<std::pair<Headers, std::string>(int status,
                                                   const std::string& message)>;
 
+// The requests that one or more servers hold, and the streams of those that are
+// being read.
+struct HttpRequests {
+  RequestMemory memory;
+  std::map<int64_t, beast::tcp_stream*> reads;  // by id
+};
+
 // A server's configuration and open connections. To end it without truncating a
 // response, set `closing`, call CloseIdle and close the acceptor. A request
 // that is completely read only after that is refused with 503 and not handled.
@@ -117,6 +126,7 @@
   size_t connections = 0;
   size_t active = 0;  // connections with a request in progress
   bool closing = false;
+  std::shared_ptr<HttpRequests> requests = std::make_shared<HttpRequests>();
   // Connections that wait for a request's first byte.
   std::set<beast::tcp_stream*> idle;
 };
--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -13,6 +13,13 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 
+// Retry-After of a request that was refused for memory. The readers that take
+// it are refused or done within header_timeout, most of them much sooner.
+constexpr char kMemoryRetryAfterSeconds[] = "1";
+
+// What is read of a head at a time, so that idle connections hold little.
+constexpr size_t kHeadPieceBytes = 4 << 10;
+
 // Bytes that are read at a time, at least; a chunk's size with its extensions,
 // and a trailer, must fit into it.
 constexpr size_t kMinReadBufferBytes = 16 << 10;
@@ -27,6 +34,7 @@
 struct ReadFailure {
   int status = 0;  // to answer; 0 if the caller is gone or sent nothing
   std::string why;
+  bool is_for_memory = false;  // and may be read later
 };
 
 // No value once the request is complete.
@@ -59,10 +67,91 @@
   if (server.refusal) {
     std::tie(headers, body) = server.refusal(failure.status, failure.why);
   }
+  if (failure.is_for_memory) {
+    headers.emplace_back("retry-after", kMemoryRetryAfterSeconds);
+  }
   co_await reply.Send(failure.status, std::move(headers), std::move(body));
 }
 
-using Parser = http::request_parser<http::string_body>;
+// A string that grows with the bytes that have arrived. Beast's own string body
+// reserves the length that the caller announces.
+struct GrowingBody {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool is_request, class Fields>
+    reader(http::header<is_request, Fields>&, value_type& body) : body_(body) {}
+
+    void init(const boost::optional<uint64_t>&, beast::error_code& ec) {
+      ec = {};
+    }
+
+    template <class Buffers>
+    size_t put(const Buffers& buffers, beast::error_code& ec) {
+      ec = {};
+      for (const auto buffer : beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return beast::buffer_bytes(buffers);
+    }
+
+    void finish(beast::error_code& ec) { ec = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
+using Parser = http::request_parser<GrowingBody>;
+
+// Accounts for one request, from its first byte to the end of its handler.
+class RequestHold {
+ public:
+  RequestHold(std::shared_ptr<HttpRequests> requests, beast::tcp_stream* stream)
+      : requests_(std::move(requests)),
+        id_(BeginRequest(Now(), &requests_->memory)) {
+    requests_->reads[id_] = stream;
+  }
+  ~RequestHold() {
+    requests_->reads.erase(id_);
+    EndRequest(id_, &requests_->memory);
+  }
+  RequestHold(const RequestHold&) = delete;
+  RequestHold& operator=(const RequestHold&) = delete;
+
+  // Sets what the request holds. Wakes the readers of requests that are refused
+  // for it, so that their memory is free at once.
+  void Set(size_t bytes) const {
+    RequestMemory& memory = requests_->memory;
+    const size_t held = memory.held;
+    const std::vector<int64_t> refused = HoldBytes(id_, bytes, Now(), &memory);
+    for (const int64_t id : refused) {
+      requests_->reads[id]->cancel();
+    }
+    if (!refused.empty()) {
+      Log("requests_refused_for_memory", {{"refused", refused.size()},
+                                          {"held_before", held},
+                                          {"held", memory.held},
+                                          {"limit", memory.limit}});
+    }
+  }
+
+  bool is_refused() const { return IsRefused(id_, requests_->memory); }
+
+  void Complete() const {
+    requests_->reads.erase(id_);
+    CompleteRequest(id_, &requests_->memory);
+  }
+
+ private:
+  std::shared_ptr<HttpRequests> requests_;
+  int64_t id_;
+};
+
+ReadFailure MemoryFailure() {
+  return {503, "too many bytes of requests are being read", true};
+}
 
 // Cancels the stream's operations at a deadline. Unlike the stream's own expiry
 // this leaves the connection open, so that a 408 can be sent.
@@ -143,21 +232,29 @@
   return lengths + encodings <= 1 && hosts <= 1;
 }
 
-// Waits for the first byte of the next request.
-awaitable<beast::error_code> AwaitFirstByte(const HttpLimits& limits,
-                                            beast::tcp_stream* stream,
-                                            beast::flat_buffer* buffer) {
-  stream->expires_after(limits.idle_timeout);
+// Waits for the first byte of the next request, if none has arrived. Returns
+// false if there is none.
+awaitable<bool> AwaitFirstByte(HttpServer* server,
+                               beast::tcp_stream* stream,
+                               beast::flat_buffer* buffer) {
+  if (buffer->size() > 0) {
+    co_return true;
+  }
+  server->idle.insert(stream);
+  stream->expires_after(server->limits.idle_timeout);
   auto [ec, n] = co_await stream->async_read_some(
-      buffer->prepare(limits.header_bytes), kToTuple);
+      buffer->prepare(std::min(server->limits.header_bytes, kHeadPieceBytes)),
+      kToTuple);
   stream->expires_never();
+  server->idle.erase(stream);
   if (!ec) {
     buffer->commit(n);
   }
-  co_return ec;
+  co_return !ec;
 }
 
 awaitable<beast::error_code> ReadHeader(const HttpLimits& limits,
+                                        const RequestHold& hold,
                                         beast::tcp_stream* stream,
                                         beast::flat_buffer* buffer,
                                         Parser* parser) {
@@ -180,13 +277,19 @@
       co_return http::error::header_limit;
     }
     auto [ec, n] = co_await stream->async_read_some(
-        buffer->prepare(limits.header_bytes - seen.size()), kToTuple);
+        buffer->prepare(
+            std::min(limits.header_bytes - seen.size(), kHeadPieceBytes)),
+        kToTuple);
     if (ec) {
       co_return timer.Outcome(
           ec == asio::error::eof ? make_error_code(http::error::partial_message)
                                  : ec);
     }
     buffer->commit(n);
+    hold.Set(buffer->size());
+    if (hold.is_refused()) {
+      co_return asio::error::operation_aborted;
+    }
   }
   auto [ec, n] =
       co_await http::async_read_header(*stream, *buffer, *parser, kToTuple);
@@ -214,6 +317,7 @@
 }
 
 awaitable<ReadOutcome> ReadBody(const HttpLimits& limits,
+                                const RequestHold& hold,
                                 beast::tcp_stream* stream,
                                 beast::flat_buffer* buffer,
                                 Parser* parser) {
@@ -222,11 +326,18 @@
   parser->eager(true);
   while (!parser->is_done()) {
     const ReadOutcome failure = ParseBody(buffer, parser, &framing);
+    hold.Set(buffer->size() + framing.data_bytes);
+    if (hold.is_refused()) {
+      co_return MemoryFailure();
+    }
     if (failure || parser->is_done()) {
       co_return failure;
     }
     auto [ec, n] = co_await stream->async_read_some(
         buffer->prepare(buffer->max_size() - buffer->size()), kToTuple);
+    if (hold.is_refused()) {
+      co_return MemoryFailure();
+    }
     if (ec) {
       const beast::error_code outcome = timer.Outcome(ec);
       co_return ReadFailure{RefusalStatus(outcome, true), outcome.message()};
@@ -238,22 +349,16 @@
 
 // Reads one request. The header must arrive within header_timeout of its first
 // byte, and the body within the same time after the header.
-awaitable<ReadOutcome> ReadRequest(HttpServer* server,
+awaitable<ReadOutcome> ReadRequest(const HttpLimits& limits,
+                                   const RequestHold& hold,
                                    beast::tcp_stream* stream,
                                    beast::flat_buffer* buffer,
                                    Parser* parser) {
-  const HttpLimits& limits = server->limits;
-  if (buffer->size() == 0) {
-    server->idle.insert(stream);
-    const beast::error_code ec =
-        co_await AwaitFirstByte(limits, stream, buffer);
-    server->idle.erase(stream);
-    if (ec) {
-      co_return ReadFailure{RefusalStatus(ec, false), ec.message()};
-    }
-  }
   const beast::error_code header_ec =
-      co_await ReadHeader(limits, stream, buffer, parser);
+      co_await ReadHeader(limits, hold, stream, buffer, parser);
+  if (hold.is_refused()) {
+    co_return MemoryFailure();
+  }
   if (header_ec) {
     const bool has_bytes = buffer->size() > 0 || parser->got_some();
     co_return ReadFailure{RefusalStatus(header_ec, has_bytes),
@@ -264,11 +369,14 @@
                                                        11);
     auto [ec, n] =
         co_await http::async_write(*stream, continue_response, kToTuple);
+    if (hold.is_refused()) {
+      co_return MemoryFailure();
+    }
     if (ec) {
       co_return ReadFailure{0, ec.message()};
     }
   }
-  co_return co_await ReadBody(limits, stream, buffer, parser);
+  co_return co_await ReadBody(limits, hold, stream, buffer, parser);
 }
 
 HttpRequest ExtractRequest(Parser* parser) {
@@ -316,44 +424,60 @@
 
 namespace {
 
+// Runs the handler of one request. Returns whether the connection stays open.
+awaitable<bool> RunHandler(HttpServer* server,
+                           beast::tcp_stream* stream,
+                           const HttpRequest& request,
+                           bool keep_alive) {
+  stream->expires_never();
+  const auto reply =
+      std::make_shared<HttpReply>(stream, server->limits, keep_alive);
+  CallerWatch::Start(reply);
+  ++server->active;
+  try {
+    co_await server->handler(request, *reply);
+  } catch (const std::exception& e) {
+    Log("handler_failed", {{"target", request.target}, {"why", e.what()}});
+    reply->Abort();
+  }
+  CallerWatch::Stop(reply.get());
+  --server->active;
+  co_return reply->keep_alive();
+}
+
 awaitable<void> ServeRequests(std::shared_ptr<HttpServer> server,
                               beast::tcp_stream* stream) {
   beast::flat_buffer buffer;
-  while (!server->closing) {
+  while (!server->closing &&
+         co_await AwaitFirstByte(server.get(), stream, &buffer)) {
     // The parser keeps a line of a chunk, or a trailer, in the buffer until it
     // is complete.
     buffer.max_size(std::max(
         {server->limits.header_bytes, kMinReadBufferBytes, buffer.size()}));
-    Parser parser;
-    parser.body_limit(server->limits.body_bytes);
-    parser.header_limit(server->limits.header_bytes);
+    std::optional<RequestHold> hold(std::in_place, server->requests, stream);
+    std::optional<Parser> parser(std::in_place);
+    parser->body_limit(server->limits.body_bytes);
+    parser->header_limit(server->limits.header_bytes);
     ReadOutcome failure =
-        co_await ReadRequest(server.get(), stream, &buffer, &parser);
+        co_await ReadRequest(server->limits, *hold, stream, &buffer, &*parser);
     if (!failure && server->closing) {
       failure = ReadFailure{503, "shutting down"};
     }
     if (failure) {
+      parser.reset();
+      hold.reset();
       if (failure->status != 0) {
         co_await SendReadError(*server, stream, std::move(*failure));
       }
       co_return;
     }
-    const bool keep_alive = parser.get().keep_alive();
-    const HttpRequest request = ExtractRequest(&parser);
-    stream->expires_never();
-    const auto reply =
-        std::make_shared<HttpReply>(stream, server->limits, keep_alive);
-    CallerWatch::Start(reply);
-    ++server->active;
-    try {
-      co_await server->handler(request, *reply);
-    } catch (const std::exception& e) {
-      Log("handler_failed", {{"target", request.target}, {"why", e.what()}});
-      reply->Abort();
+    hold->Complete();
+    const bool keep_alive = parser->get().keep_alive();
+    const HttpRequest request = ExtractRequest(&*parser);
+    if (buffer.size() == 0) {
+      buffer.shrink_to_fit();
     }
-    CallerWatch::Stop(reply.get());
-    --server->active;
-    if (!reply->keep_alive()) {
+    if (!co_await RunHandler(server.get(), stream, request, keep_alive)) {
       co_return;
     }
   }
--- a/rosemaryhook/relay_main.cc
+++ b/rosemaryhook/relay_main.cc
@@ -83,6 +83,9 @@
   servers->callers->handler = CallerHandler(servers->host);
   servers->callers->refusal = UnreadableRefusal;
   servers->operators->handler = OperatorHandler(servers->host);
+  servers->callers->requests->memory.limit =
+      RequestMemoryLimit(settings.memory_mb << 20);
+  servers->operators->requests = servers->callers->requests;
   servers->peers->handler = [host = servers->host](auto stream) {
     return ServePeer(host, std::move(stream));
   };
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -101,6 +101,11 @@
       {"table", kAddress, true, SetAddress(&Settings::table)},
       {"body_bytes", "bytes from 1024 to 1048576", false,
        SetBytes(&Settings::body_bytes, 1 << 10, 1 << 20)},
+      {"memory_mb", "whole megabytes from 0 to 1048576, or nothing", false,
+       [](const std::string& text, Settings* settings) {
+         return text.empty() ||
+                SetBytes(&Settings::memory_mb, 0, 1 << 20)(text, settings);
+       }},
       {"header_timeout_ms", "milliseconds from 100 to 60000", false,
        SetMillis(&Settings::header_timeout, 100, 60'000)},
       {"answer_limit_ms", "milliseconds from 1000 to 3600000", false,
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -30,6 +30,7 @@
   std::string operators;  // ip:port for operators
   std::string table;      // ip:port of the platform's table or store
   size_t body_bytes = 1 << 20;
+  size_t memory_mb = 0;  // that the process may use; 0 if it is not known
   Duration header_timeout = std::chrono::seconds(10);
   Duration answer_limit = std::chrono::seconds(120);
   Duration silence_limit = std::chrono::seconds(15);
--- a/rosemaryhook/testing/echo_server.h
+++ b/rosemaryhook/testing/echo_server.h
@@ -27,8 +27,10 @@
     return limits;
   }
 
-  explicit EchoServer(const HttpLimits& limits = DefaultLimits()) {
+  explicit EchoServer(const HttpLimits& limits = DefaultLimits(),
+                      size_t memory_limit = RequestMemoryLimit(0)) {
     server_->limits = limits;
+    server_->requests->memory.limit = memory_limit;
     server_->handler = [this](const HttpRequest& request,
                               HttpReply& reply) -> awaitable<void> {
       ++handled;
--- a/rosemaryhook/testing/endless_requests_test.cc
+++ b/rosemaryhook/testing/endless_requests_test.cc
@@ -157,6 +157,53 @@
   BOOST_TEST(server.handled == 0);
 }
 
+// Guards against bodies, or heads, that are each within the limits, and that
+// all together are more than the host has.
+BOOST_AUTO_TEST_CASE(many_slow_requests_are_refused_as_not_run) {
+  constexpr int kSlow = 100;
+  constexpr size_t kLimit = 1 << 20;
+  HttpLimits limits = SmallLimits();
+  limits.header_bytes = 32 << 10;
+  const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string filler(30 << 10, 'd');
+  for (const std::string& begin :
+       {head + "Content-Length: 50000\r\n\r\n" + filler,
+        std::string(kChunkedHead) + "ffff\r\n" + filler,
+        head + "x-a: " + filler}) {
+    EchoServer server(limits, kLimit);
+    asio::io_context io;
+    std::vector<tcp::socket> sockets;
+    const size_t before = AllocatedBytes();
+    for (int i = 0; i < kSlow; ++i) {
+      sockets.emplace_back(io).connect(server.endpoint);
+      asio::write(sockets.back(), asio::buffer(begin));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    // The growth of containers, and what each connection takes by itself.
+    BOOST_TEST(AllocatedBytes() - before < 2 * kLimit + kSlow * (16 << 10));
+    for (const size_t size : {size_t{100}, limits.body_bytes}) {
+      const std::string answer = server.Send(
+          head + "Connection: close\r\nContent-Length: " +
+          std::to_string(size) + "\r\n\r\n" + std::string(size, 'd'));
+      BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer.substr(0, 100));
+    }
+    int refused = 0;
+    for (tcp::socket& socket : sockets) {
+      if (socket.available() > 0) {
+        std::string answer;
+        beast::error_code ec;
+        asio::read(socket, asio::dynamic_buffer(answer), ec);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 503"), answer);
+        BOOST_TEST(answer.find("retry-after: 1\r\n") != std::string::npos);
+        ++refused;
+      }
+    }
+    BOOST_TEST(refused >= kSlow / 2, begin.substr(0, 60));
+    BOOST_TEST(refused < kSlow, begin.substr(0, 60));
+    BOOST_TEST(server.handled == 2);
+  }
+}
+
 // Guards against a bound that refuses what honest callers send: each request is
 // cut at each of its bytes, and then sent byte by byte and pipelined.
 BOOST_AUTO_TEST_CASE(honest_requests_pass_in_any_parts) {
--- a/rosemaryhook/testing/settings_test.cc
+++ b/rosemaryhook/testing/settings_test.cc
@@ -18,6 +18,21 @@
   BOOST_TEST(Millis(std::get<Settings>(parsed).heartbeat) == 700);
 }
 
+// A platform may fill in no memory.
+BOOST_AUTO_TEST_CASE(the_memory_may_be_unknown) {
+  const std::vector<std::pair<std::string, size_t>> cases{
+      {"memory_mb: \"260\"\n", 260},
+      {"memory_mb: 160\n", 160},
+      {"memory_mb: \"\"\n", 0},
+      {"", 0},
+  };
+  for (const auto& [text, memory_mb] : cases) {
+    const auto parsed = ParseSettings(std::string(kRequiredFields) + text, "f");
+    BOOST_REQUIRE_MESSAGE(Failure(parsed) == nullptr, text);
+    BOOST_TEST(std::get<Settings>(parsed).memory_mb == memory_mb, text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(errors_name_file_line_field_and_expectation) {
   const std::vector<std::pair<std::string, std::string>> cases{
       {"", "f:1: settings: expected a map"},
