Show that answers without end end a process

endless_bytes (unit) reads from a server on loopback that writes 20 forms of bytes without end, also from each byte of an answer on, and honest long answers, also cut at each byte. endless_answers (processes) has daemons with an address space of 192 MB before servers that write so, while other callers' requests go on. Site::address_space_mb sets it (RLIMIT_AS).

--- a/rosemaryhook/testing/processes.cc
+++ b/rosemaryhook/testing/processes.cc
@@ -65,6 +65,34 @@
   return prlimit(pid, RLIMIT_AS, &limit, nullptr) == 0;
 }
 
+std::vector<std::string> WithAddressSpace(int mb,
+                                          std::vector<std::string> command) {
+  if (mb <= 0) {
+    return command;
+  }
+  std::vector<std::string> limited{"/bin/sh", "-c",
+                                   "ulimit -v \"$0\"; exec \"$@\"",
+                                   std::to_string(mb * 1024)};
+  limited.insert(limited.end(), command.begin(), command.end());
+  return limited;
+}
+
+int PeakMemoryMb(pid_t pid) {
+  constexpr std::string_view kField = "VmHWM:";
+  const std::string status = ReadAll(fmt::format("/proc/{}/status", pid));
+  const size_t at = status.find(kField);
+  return at == std::string::npos
+             ? 0
+             : std::stoi(status.substr(at + kField.size())) / 1024;
+}
+
+bool IsRunning(pid_t pid) {
+  siginfo_t info{};
+  // WNOWAIT leaves the exit status for WaitFor.
+  return waitid(P_PID, pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+         info.si_pid == 0;
+}
+
 int WaitFor(pid_t pid) {
   int status = 0;
   waitpid(pid, &status, 0);
--- a/rosemaryhook/testing/processes.h
+++ b/rosemaryhook/testing/processes.h
@@ -41,6 +41,17 @@
 // Bounds the address space of a process from now on. Returns false on failure.
 bool LimitMemory(pid_t pid, size_t bytes);
 
+// The command that runs `command` with an address space of at most `mb`
+// megabytes (setrlimit, RLIMIT_AS); 0 for no limit.
+std::vector<std::string> WithAddressSpace(int mb,
+                                          std::vector<std::string> command);
+
+// The most memory that a process has had in use so far, in megabytes.
+int PeakMemoryMb(pid_t pid);
+
+// Whether a process that this one started has not ended.
+bool IsRunning(pid_t pid);
+
 // Waits until a process ends. Returns its exit code, or 128 + the signal
 // number.
 int WaitFor(pid_t pid);
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -8,6 +8,21 @@
 // What is late is read before the answer itself arrives.
 constexpr auto kLateLead = std::chrono::milliseconds(20);
 
+void WriteEndless(const ScriptedServer::Answer& answer,
+                  const std::atomic<bool>& is_ending,
+                  tcp::socket* socket,
+                  beast::error_code* ec) {
+  size_t written = 0;
+  while (!*ec && !is_ending && written < ScriptedServer::kMaxEndlessBytes) {
+    const size_t n = asio::write(*socket, asio::buffer(answer.endless), *ec);
+    written += n;
+    if (answer.endless_written != nullptr) {
+      *answer.endless_written += n;
+    }
+    std::this_thread::sleep_for(answer.endless_pause);
+  }
+}
+
 }  // namespace
 
 ScriptedServer::ScriptedServer(const std::string& address, Handler handler)
@@ -62,6 +77,11 @@
       std::this_thread::sleep_for(kLateLead);
     }
     asio::write(*socket, asio::buffer(answer.bytes), ec);
+    if (!answer.endless.empty()) {
+      WriteEndless(answer, is_ending_, socket, &ec);
+      socket->shutdown(tcp::socket::shutdown_both, ec);
+      return;
+    }
     late = answer.is_repeated ? answer.bytes : answer.late;
     if (answer.closes && answer.resets) {
       socket->set_option(asio::socket_base::linger(true, 0), ec);
--- a/rosemaryhook/testing/scripted_server.h
+++ b/rosemaryhook/testing/scripted_server.h
@@ -37,7 +37,14 @@
     // Called once the caller has closed the connection, if no other request
     // came before that.
     std::function<void()> on_closed_by_caller;
+    // Written again and again after `bytes`, with a pause after each time,
+    // until the caller closes the connection or kMaxEndlessBytes are written.
+    std::string endless;
+    std::chrono::milliseconds endless_pause{};
+    std::atomic<size_t>* endless_written = nullptr;
   };
+  static constexpr size_t kMaxEndlessBytes = 96 << 20;
+
   using Handler = std::function<Answer(const ScriptedRequest& request)>;
 
   ScriptedServer(const std::string& address, Handler handler);
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -58,9 +58,11 @@
   for (int i = 0; i < options_.hosts; ++i) {
     const std::string file = fmt::format("{}/host{}.yaml", folder_, i);
     std::ofstream(file) << Settings(i);
-    hosts_.push_back({fmt::format("host{}", i),
-                      {Program("rosemaryhookd"), "--settings", file},
-                      0});
+    hosts_.push_back(
+        {fmt::format("host{}", i),
+         WithAddressSpace(options_.address_space_mb,
+                          {Program("rosemaryhookd"), "--settings", file}),
+         0});
   }
   for (Process& host : hosts_) {
     Start(host);
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -33,6 +33,7 @@
   // Hosts reach the store and backend servers through StoreProxy and
   // BackendProxy, where the test must run a proxy.
   bool is_proxied = false;
+  int address_space_mb = 0;  // of each host; 0: no limit
 };
 
 class Site {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,12 +1,12 @@
 # Unit tests, which run in virtual time; one ctest entry per suite.
 set(UNIT_SUITES
-  adapter_demand adapter_plan answer_head answer_match api backend_state claims contact deployment
-  direct_state endless_requests event_splitter fleet_state http_io idempotency joined_heads
-  load_pacing
+  adapter_demand adapter_plan answer_head answer_match api backend_state
+  claims contact deployment direct_state endless_requests event_splitter
+  fleet_state http_io idempotency joined_heads endless_bytes load_pacing
   list_trust membership peer_backlog peer_reads placement platform_codec rates
-  prompt_suspects repeat_limits request_memory retries routing runner_choice runner_ownership
-  runner_ownership_leaving send_pause send_rate settings statements store_era sheet silent_connections stream_stalls
-  suspects
+  prompt_suspects repeat_limits request_memory retries routing runner_choice
+  runner_ownership runner_ownership_leaving send_pause send_rate settings
+  statements store_era sheet silent_connections stream_stalls suspects
   thundering_herd token_limits token_limits_restart token_record named_limit)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
@@ -22,11 +22,11 @@
 
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
-set(PROCESS_SUITES path failure idempotency backend direct refused_host
-  takeover odd_rows late_refusals broken_streams run_once
-  named_limits leaving_servers paused_servers outdated_lists restored_store planned_stop cut_heads joined_heads fault_proxy
-  endless_callers
-  ended_processes)
+set(PROCESS_SUITES
+  path failure idempotency backend direct refused_host takeover odd_rows
+  late_refusals broken_streams run_once named_limits leaving_servers
+  paused_servers outdated_lists restored_store planned_stop cut_heads
+  joined_heads fault_proxy endless_callers ended_processes endless_answers)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -115,7 +115,12 @@
   ended_processes/no_name_of_an_adapter_stops_the_orders
   ended_processes/no_datagram_ends_a_host
   ended_processes/no_signal_at_the_start_ends_a_host
-  ended_processes/a_port_that_is_taken_delays_the_start)
+  ended_processes/a_port_that_is_taken_delays_the_start
+  endless_answers/others_are_served_while_servers_write_without_end
+  endless_answers/a_server_that_writes_without_end_gets_less_requests
+  endless_answers/a_refusal_that_does_not_end_holds_no_request
+  endless_answers/control_calls_keep_no_answer_without_end
+  endless_answers/a_slow_caller_holds_a_fast_server)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
