Bound what an answer has besides its data

Callers saw all requests of a host end when one backend server wrote a chunk extension, the digits of a chunk's size, or trailers without end.

Cause: the client's buffer had no maximum and its parser wants a whole line, or all trailer fields. The bound of a body counts data only.

Change: the buffer holds at most 32 KB, a head 16 KB (8 KB before, so honest heads of 16 KB pass), and all framing of an answer 192 KB and 16 bytes for each byte of data, so that long extensions of many small chunks are bounded too (answer_bytes.h, a function over two counts). Such an answer is given up at once: it counts as a failure of its server like a broken one, and not as a crash of the server by its request. event=answer_given_up and the counter excessive_answers show it, and attempt lines have the bytes of both kinds.

Ruled out: heads of one long line and status lines were bounded before.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -553,6 +553,8 @@
   outcome.is_closed_by_peer = exchange.is_closed_by_peer();
   outcome.is_new_connection = !exchange.reused();
   outcome.has_joined_head = exchange.has_joined_head();
+  outcome.is_excessive = exchange.is_excessive();
+  outcome.bytes = exchange.bytes();
   outcome.earlier_answers = exchange.earlier_answers();
   outcome.connection_end = exchange.connection_end();
   call.sends += exchange.may_have_reached() ? 1 : 0;
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -77,6 +77,9 @@
   // Of the answer's head, if there was one.
   bool has_stamp = false;
   bool has_joined_head = false;
+  // The answer was given up for its number of bytes.
+  bool is_excessive = false;
+  AnswerBytes bytes;
   // Of the connection that was used.
   bool is_new_connection = false;
   int earlier_answers = 0;
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -105,6 +105,9 @@
     gauge("request_bytes_limit", static_cast<int64_t>(memory.limit));
     gauge("requests_refused_for_memory", memory.refused);
   }
+  gauge("excessive_answers",
+        static_cast<int64_t>(daemon.pool.excessive +
+                             daemon.control_pool.excessive));
   return text;
 }
 
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -490,6 +490,8 @@
                   {"connection_end", ConnectionEndName(outcome.connection_end)},
                   {"stamp", outcome.has_stamp ? 1 : 0},
                   {"joined", outcome.has_joined_head ? 1 : 0},
+                  {"framing_bytes", outcome.bytes.framing},
+                  {"data_bytes", outcome.bytes.data},
                   {"parts", JoinedParts(call)},
                   {"why", outcome.reason}});
 }
@@ -506,9 +508,10 @@
   } else {
     call->tried.insert(runner);
   }
-  const bool may_be_crash =
-      outcome.end == AttemptEnd::kUnknown && !outcome.is_unproven_refusal &&
-      !call->is_disconnected && !call->is_blocked && Now() < call->deadline;
+  const bool may_be_crash = outcome.end == AttemptEnd::kUnknown &&
+                            !outcome.is_unproven_refusal &&
+                            !outcome.is_excessive && !call->is_disconnected &&
+                            !call->is_blocked && Now() < call->deadline;
   if (may_be_crash && !call->fingerprint.empty()) {
     RecordCrash(call->fingerprint, Now(), &daemon.suspects);
     daemon.suspects_changed.insert(call->fingerprint);
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -25,6 +25,7 @@
 #include <utility>
 #include <vector>
 
+#include "rosemaryhook/answer_bytes.h"
 #include "rosemaryhook/dispatch_message.h"
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/request_memory.h"
@@ -190,10 +191,13 @@
   uint64_t opened = 0;     // connections opened
   uint64_t reused = 0;     // exchanges on a reused connection
   uint64_t discarded = 0;  // connections closed since another was silent
+  uint64_t excessive = 0;  // answers given up for their number of bytes
 };
 
 // One request and its response. A head that was read from parts of two answers
-// (answer_head.h) is an error.
+// (answer_head.h) is an error, and so is an answer with more bytes besides its
+// data than answer_bytes.h allows. Memory: kMaxUnparsedBytes and one part of
+// the body.
 class HttpExchange {
  public:
   explicit HttpExchange(HttpPool* pool);
@@ -227,6 +231,15 @@
   // Whether the newest head was read from parts of two answers.
   bool has_joined_head() const { return has_joined_head_; }
 
+  // Records that the answer is given up for its number of bytes.
+  Error MakeExcessError(std::string reason);
+
+  // Whether the answer was given up for its number of bytes.
+  bool is_excessive() const { return is_excessive_; }
+
+  // Of all answers that were read.
+  const AnswerBytes& bytes() const { return bytes_; }
+
   // Whether the answer has neither a length nor chunks.
   bool ends_with_connection() const { return parser_->need_eof(); }
 
@@ -248,6 +261,8 @@
   awaitable<Result<Done>> Connect();
   awaitable<Result<Done>> SendRequest();
   awaitable<Result<HttpHead>> ReadHead();
+  // Reads a part of the body into `chunk` and returns its size, which may be 0.
+  awaitable<Result<size_t>> ReadSome(std::string* chunk);
   void SetTimeout();
   // Closes the idle connections to this address that may have gone silent
   // together with this one.
@@ -258,7 +273,8 @@
   HttpPool* pool_;
   HttpCall call_;
   std::shared_ptr<beast::tcp_stream> stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
+  AnswerBytes bytes_;
   std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
   // Outlives the exchange while a long body is still being sent.
   std::shared_ptr<struct HttpUpload> upload_;
@@ -272,6 +288,7 @@
   bool is_closed_by_peer_ = false;
   bool is_kept_ = false;
   bool has_joined_head_ = false;
+  bool is_excessive_ = false;
 };
 
 struct HttpAnswer {
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -11,6 +11,7 @@
 #include "rosemaryhook/answer_head.h"
 #include "rosemaryhook/enum_names.h"
 #include "rosemaryhook/http.h"
+#include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
 namespace {
@@ -73,6 +74,11 @@
          ec == asio::error::connection_reset || ec == asio::error::broken_pipe;
 }
 
+// Whether the peer sent more than the parser may keep.
+bool IsExcess(const beast::error_code& ec) {
+  return ec == http::error::buffer_overflow || ec == http::error::header_limit;
+}
+
 // Returns an idle connection that is still open; its `stream` is null if there
 // is none.
 HttpPool::Idle PopIdleConnection(HttpPool* pool, const std::string& address) {
@@ -128,7 +134,21 @@
   return {};
 }
 
+Error HttpExchange::MakeExcessError(std::string reason) {
+  is_excessive_ = true;
+  ++pool_->excessive;
+  Log("answer_given_up", {{"peer", call_.address},
+                          {"why", reason},
+                          {"framing_bytes", bytes_.framing},
+                          {"data_bytes", bytes_.data},
+                          {"unparsed_bytes", buffer_.size()}});
+  return Error{Step::kReceive, call_.address, std::move(reason)};
+}
+
 Error HttpExchange::MakeError(Step step, const beast::error_code& ec) {
+  if (IsExcess(ec)) {
+    return MakeExcessError(ec.message());
+  }
   is_refused_ = ec == asio::error::connection_refused;
   is_closed_by_peer_ = IsClosedByPeer(ec);
   return Error{step, call_.address, ec.message()};
@@ -209,9 +229,11 @@
 awaitable<Result<HttpHead>> HttpExchange::ReadHead() {
   parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
   parser_->body_limit(boost::none);
+  parser_->header_limit(kMaxHeadBytes);
   SetTimeout();
   auto [read_ec, read] =
       co_await http::async_read_header(*stream_, buffer_, *parser_, kToTuple);
+  bytes_.framing += read;
   if (read_ec) {
     if (reused_ && IsTimeout(read_ec)) {
       DiscardSilentConnections();
@@ -253,6 +275,25 @@
   co_return co_await ReadHead();
 }
 
+awaitable<Result<size_t>> HttpExchange::ReadSome(std::string* chunk) {
+  auto& body = parser_->get().body();
+  body.data = chunk->data();
+  body.size = chunk->size();
+  SetTimeout();
+  auto [ec, parsed] =
+      co_await http::async_read_some(*stream_, buffer_, *parser_, kToTuple);
+  const size_t size = chunk->size() - body.size;
+  bytes_.framing += parsed - size;
+  bytes_.data += size;
+  if (ec && ec != http::error::need_buffer) {
+    co_return MakeError(Step::kReceive, ec);
+  }
+  if (IsFramingExcessive(bytes_)) {
+    co_return MakeExcessError("too many bytes besides the body");
+  }
+  co_return size;
+}
+
 awaitable<Result<HttpHead>> HttpExchange::ReadNextHead() {
   if (ends_with_connection()) {
     co_return Error{Step::kReceive, call_.address,
@@ -260,14 +301,9 @@
   }
   std::string chunk(kChunkBytes, '\0');
   while (!parser_->is_done()) {
-    auto& body = parser_->get().body();
-    body.data = chunk.data();
-    body.size = chunk.size();
-    SetTimeout();
-    auto [ec, n] =
-        co_await http::async_read_some(*stream_, buffer_, *parser_, kToTuple);
-    if (ec && ec != http::error::need_buffer) {
-      co_return MakeError(Step::kReceive, ec);
+    const auto read = co_await ReadSome(&chunk);
+    if (const Error* error = Failure(read)) {
+      co_return *error;
     }
   }
   co_return co_await ReadHead();
@@ -281,17 +317,11 @@
 awaitable<Result<std::string>> HttpExchange::ReadChunk() {
   std::string chunk(kChunkBytes, '\0');
   while (!parser_->is_done()) {
-    auto& body = parser_->get().body();
-    body.data = chunk.data();
-    body.size = chunk.size();
-    SetTimeout();
-    auto [ec, n] =
-        co_await http::async_read_some(*stream_, buffer_, *parser_, kToTuple);
-    if (ec && ec != http::error::need_buffer) {
-      co_return MakeError(Step::kReceive, ec);
+    const auto read = co_await ReadSome(&chunk);
+    if (const Error* error = Failure(read)) {
+      co_return *error;
     }
-    const size_t size = chunk.size() - body.size;
-    if (size > 0) {
+    if (const size_t size = std::get<size_t>(read); size > 0) {
       chunk.resize(size);
       co_return chunk;
     }
--- a/rosemaryhook/testing/endless_bytes_test.cc
+++ b/rosemaryhook/testing/endless_bytes_test.cc
@@ -473,6 +473,28 @@
   BOOST_TEST(Failure(endless)->message == "the table is too long");
 }
 
+// Guards against bounds that depend on the length of the data.
+BOOST_AUTO_TEST_CASE(framing_is_compared_with_data) {
+  struct Case {
+    AnswerBytes bytes;
+    bool is_excessive;
+  };
+  const std::vector<Case> cases{
+      {{0, 0}, false},
+      {{20 << 10, 0}, false},        // a head and trailers
+      {{5 << 20, 1 << 20}, false},   // chunks of one byte
+      {{16 << 20, 1 << 20}, false},  // with short extensions
+      {{0, uint64_t{1} << 40}, false},
+      {{1 << 20, 0}, true},
+      {{1 << 20, 1 << 10}, true},  // long extensions
+      {{uint64_t{1} << 40, uint64_t{1} << 32}, true},
+  };
+  for (const Case& test : cases) {
+    BOOST_TEST(IsFramingExcessive(test.bytes) == test.is_excessive,
+               test.bytes.framing << " for " << test.bytes.data);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
