Count all fields of a head against its bound

A head whose fields never end was read on, and its fields kept, if each read ended with a whole field.

Cause: the parser consumes the fields that are complete and applies its limit to the rest. Where a read ends at most two bytes behind a field, nothing is left to count.

Found by bytes_without_end_from_any_byte_on_are_given_up. Change: the client reads heads in a loop of its own and counts what the parser consumed. The server's reader looks for the end of the head itself and is not affected. a_head_of_too_many_fields_is_given_up has a read for each field.

--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -260,6 +260,7 @@
  private:
   awaitable<Result<Done>> Connect();
   awaitable<Result<Done>> SendRequest();
+  awaitable<beast::error_code> ParseHead();
   awaitable<Result<HttpHead>> ReadHead();
   // Reads a part of the body into `chunk` and returns its size, which may be 0.
   awaitable<Result<size_t>> ReadSome(std::string* chunk);
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -20,6 +20,7 @@
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(20);
 constexpr size_t kMaxIdlePerAddress = 64;
 constexpr size_t kChunkBytes = 16 << 10;
+constexpr size_t kHeadReadBytes = 4 << 10;
 
 // A request body up to this size fits into the socket's buffer, so sending it
 // does not wait for the peer to read.
@@ -226,14 +227,47 @@
   co_return Done{};
 }
 
+// The parser's own limit does not count fields that it has already parsed.
+awaitable<beast::error_code> HttpExchange::ParseHead() {
+  size_t parsed = 0;
+  while (true) {
+    if (buffer_.size() > 0) {
+      beast::error_code ec;
+      const size_t used = parser_->put(buffer_.data(), ec);
+      buffer_.consume(used);
+      bytes_.framing += used;
+      parsed += used;
+      if (ec && ec != http::error::need_more) {
+        co_return ec;
+      }
+      const bool is_done = parser_->is_header_done();
+      if (parsed + (is_done ? 0 : buffer_.size()) > kMaxHeadBytes) {
+        co_return http::error::header_limit;
+      }
+      if (is_done) {
+        co_return beast::error_code();
+      }
+    }
+    auto [ec, n] = co_await stream_->async_read_some(
+        buffer_.prepare(kHeadReadBytes), kToTuple);
+    if (ec == asio::error::eof) {
+      co_return parser_->got_some()
+          ? make_error_code(http::error::partial_message)
+          : make_error_code(http::error::end_of_stream);
+    }
+    if (ec) {
+      co_return ec;
+    }
+    buffer_.commit(n);
+  }
+}
+
 awaitable<Result<HttpHead>> HttpExchange::ReadHead() {
   parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
   parser_->body_limit(boost::none);
   parser_->header_limit(kMaxHeadBytes);
   SetTimeout();
-  auto [read_ec, read] =
-      co_await http::async_read_header(*stream_, buffer_, *parser_, kToTuple);
-  bytes_.framing += read;
+  const beast::error_code read_ec = co_await ParseHead();
   if (read_ec) {
     if (reused_ && IsTimeout(read_ec)) {
       DiscardSilentConnections();
--- a/rosemaryhook/testing/endless_bytes_test.cc
+++ b/rosemaryhook/testing/endless_bytes_test.cc
@@ -246,6 +246,23 @@
   }
 }
 
+// Guards against a bound on the head that does not count the fields which were
+// read before.
+BOOST_AUTO_TEST_CASE(a_head_of_too_many_fields_is_given_up) {
+  EndlessServer server;
+  // Each is read before the next one is written.
+  std::vector<std::string> pieces{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"};
+  size_t bytes = pieces.front().size();
+  while (bytes < 2 * kMaxHeadBytes) {
+    pieces.push_back("X-A: " + std::string(200, 'a') + "\r\n");
+    bytes += pieces.back().size();
+  }
+  pieces.emplace_back("\r\n");
+  server.Answer({std::move(pieces), "", 0});
+  BOOST_TEST((Failure(FetchOnce(server)) != nullptr));
+  server.AwaitWritten();
+}
+
 struct HonestAnswer {
   std::string name;
   std::string bytes;
