Skip heads with status 1xx, at most eight

An answer behind a head with status 100, 102 or 103 was lost: that head was taken for the answer, without a body, and its connection was not reused.

HTTP lets a server send any number of them before its answer (RFC 9110, 15.2). Change: they are skipped up to eight; 101 is an error, since requests ask for no other protocol, and so is a status below 100. Each is looked through for a second status line as every head.

--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -261,6 +261,8 @@
   awaitable<Result<Done>> Connect();
   awaitable<Result<Done>> SendRequest();
   awaitable<beast::error_code> ParseHead();
+  // The next head, also one with status 1xx.
+  awaitable<Result<HttpHead>> ReadAnyHead();
   awaitable<Result<HttpHead>> ReadHead();
   // Reads a part of the body into `chunk` and returns its size, which may be 0.
   awaitable<Result<size_t>> ReadSome(std::string* chunk);
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -262,7 +262,7 @@
   }
 }
 
-awaitable<Result<HttpHead>> HttpExchange::ReadHead() {
+awaitable<Result<HttpHead>> HttpExchange::ReadAnyHead() {
   parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
   parser_->body_limit(boost::none);
   parser_->header_limit(kMaxHeadBytes);
@@ -288,6 +288,23 @@
   co_return head;
 }
 
+// Requests ask for no other protocol, so that 101 answers none of them.
+awaitable<Result<HttpHead>> HttpExchange::ReadHead() {
+  for (int i = 0; i <= kMaxInterimHeads; ++i) {
+    auto read = co_await ReadAnyHead();
+    const auto* head = std::get_if<HttpHead>(&read);
+    if (head == nullptr || head->status >= 200) {
+      co_return read;
+    }
+    if (head->status <= 101 && head->status != 100) {
+      co_return Error{
+          Step::kReceive, call_.address,
+          "status " + std::to_string(head->status) + " answers no request"};
+    }
+  }
+  co_return MakeExcessError("too many interim heads");
+}
+
 awaitable<Result<HttpHead>> HttpExchange::Start(HttpCall call) {
   call_ = std::move(call);
   if (!call_.fresh_connection) {
