Bound what is read only to be skipped

A request that was refused with proof waited for the rest of the refusal until its deadline, where it could have gone on elsewhere. An answer to another request was read on for as long as it came.

Change: the body of a refusal is read for the reuse of its connection only, so for at most 16 KB and 50 ms; then the connection is closed and the refusal stands. If it had too many bytes it counts as a failure of its server. The rest of an answer to another request is skipped for at most 1 MB and 1 s; then the outcome is unknown, as for a broken connection.

--- a/rosemaryhook/answer_bytes.h
+++ b/rosemaryhook/answer_bytes.h
@@ -26,6 +26,10 @@
 // Heads with status 1xx before the final one.
 constexpr int kMaxInterimHeads = 8;
 
+// Of the rest of an answer to another request, which is read only to reach the
+// answer that follows.
+constexpr uint64_t kMaxSkippedBytes = 1 << 20;
+
 struct AnswerBytes {
   // Heads, sizes and extensions of chunks, trailers.
   uint64_t framing = 0;
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -35,6 +35,10 @@
 // memory of each request.
 constexpr size_t kMaxBufferedBytes = 64 << 10;
 
+// The body of a refusal is read for nothing but the reuse of its connection.
+constexpr uint64_t kMaxRefusalBytes = 16 << 10;
+constexpr Duration kMaxRefusalReadTime = std::chrono::milliseconds(50);
+
 // Answers to other requests that are skipped on one connection.
 constexpr int kMaxSkippedAnswers = 3;
 
@@ -363,12 +367,13 @@
   co_return MakeOutcome(AttemptEnd::kAnswered, "");
 }
 
-// Reads the refusal's body so that the connection can be reused.
+// Reads the refusal's body so that the connection can be reused. The head has
+// proved that the request has not run, so it does not wait for a slow body.
 awaitable<AttemptOutcome> HandleRefusal(DirectCall& call,
                                         HttpExchange& exchange,
                                         const HttpHead& head,
                                         RunnerView* view) {
-  co_await BufferBody(exchange);
+  co_await exchange.SkipBody(kMaxRefusalBytes, Now() + kMaxRefusalReadTime);
   call.refused_by.insert(view->entry.id);
   AttemptOutcome outcome = MakeOutcome(
       AttemptEnd::kNotRun, "refused with " + std::to_string(head.status));
@@ -452,8 +457,10 @@
       RecordAnswer(false, now, &view->health);
       return;
     case AttemptEnd::kNotRun:
-      if (!exchange.may_have_reached() && !is_past_deadline &&
-          MaySend(*call.daemon, view->entry.id, call)) {
+      if (outcome.is_excessive) {
+        RecordAnswer(false, now, &view->health);
+      } else if (!exchange.may_have_reached() && !is_past_deadline &&
+                 MaySend(*call.daemon, view->entry.id, call)) {
         RecordUnreachable(now, &view->health);
       }
       return;
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -209,9 +209,14 @@
 
   // Skips the rest of this answer and reads the head of the next one on the
   // same connection. For an answer that belongs to another request. Fails at
-  // once if this answer ends with its connection.
+  // once if this answer ends with its connection, and after kMaxSkippedBytes or
+  // kMaxSkipTime.
   awaitable<Result<HttpHead>> ReadNextHead();
 
+  // Reads the rest of the body for nothing but the reuse of the connection.
+  // Gives up after `max_bytes` or at `until`.
+  awaitable<Result<Done>> SkipBody(uint64_t max_bytes, Time until);
+
   // Sets how long the connection may be kept for reuse, from the peer's
   // Keep-Alive header.
   void SetIdleTimeout(Duration limit) { idle_timeout_ = limit; }
@@ -270,6 +275,9 @@
   // Reads a part of the body into `chunk` and returns its size, which may be 0.
   awaitable<Result<size_t>> ReadSome(std::string* chunk);
   void SetTimeout();
+  awaitable<Result<Done>> SkipRest(uint64_t max_bytes, Time until);
+  // Keeps the connection for reuse if that is possible.
+  void KeepConnection();
   // Closes the idle connections to this address that may have gone silent
   // together with this one.
   void DiscardSilentConnections();
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -35,6 +35,9 @@
 constexpr int kKeepAliveIntervalS = 1;
 constexpr int kKeepAliveProbes = 2;
 
+// The rest of an answer to another request arrives with its beginning.
+constexpr Duration kMaxSkipTime = std::chrono::seconds(1);
+
 constexpr char kBodyTooLong[] = "the body is too long";
 
 constexpr NameTable<ConnectionEnd, 3> kConnectionEndNames{{
@@ -347,21 +350,48 @@
   co_return size;
 }
 
+awaitable<Result<Done>> HttpExchange::SkipRest(uint64_t max_bytes, Time until) {
+  const Time deadline = call_.deadline;
+  call_.deadline = std::min(deadline, until);
+  const uint64_t max_data = bytes_.data + max_bytes;
+  std::string chunk(kChunkBytes, '\0');
+  std::optional<Error> failure;
+  while (!failure && !parser_->is_done()) {
+    const auto read = co_await ReadSome(&chunk);
+    if (const Error* error = Failure(read)) {
+      failure = *error;
+    } else if (bytes_.data > max_data) {
+      failure = MakeExcessError("too many bytes to skip");
+    }
+  }
+  call_.deadline = deadline;
+  if (failure) {
+    co_return *std::move(failure);
+  }
+  co_return Done{};
+}
+
 awaitable<Result<HttpHead>> HttpExchange::ReadNextHead() {
   if (ends_with_connection()) {
     co_return Error{Step::kReceive, call_.address,
                     "the connection ends with an answer to another request"};
   }
-  std::string chunk(kChunkBytes, '\0');
-  while (!parser_->is_done()) {
-    const auto read = co_await ReadSome(&chunk);
-    if (const Error* error = Failure(read)) {
-      co_return *error;
-    }
+  const auto skipped =
+      co_await SkipRest(kMaxSkippedBytes, Now() + kMaxSkipTime);
+  if (const Error* error = Failure(skipped)) {
+    co_return *error;
   }
   co_return co_await ReadHead();
 }
 
+awaitable<Result<Done>> HttpExchange::SkipBody(uint64_t max_bytes, Time until) {
+  auto skipped = co_await SkipRest(max_bytes, until);
+  if (Failure(skipped) == nullptr) {
+    KeepConnection();
+  }
+  co_return skipped;
+}
+
 uint64_t HttpExchange::stated_length() const {
   return parser_->is_done() ? 0
                             : parser_->content_length_remaining().value_or(0);
@@ -372,6 +402,20 @@
          stream_ && upload_->is_done && idle_timeout_ > Duration::zero();
 }
 
+void HttpExchange::KeepConnection() {
+  if (!IsReusable()) {
+    return;
+  }
+  auto& idle = pool_->idle[call_.address];
+  if (idle.size() < kMaxIdlePerAddress) {
+    stream_->expires_never();
+    const Time now = Now();
+    idle.push_back(
+        {std::move(stream_), now, now + idle_timeout_, earlier_answers_ + 1});
+    is_kept_ = true;
+  }
+}
+
 awaitable<Result<std::string>> HttpExchange::ReadChunk() {
   std::string chunk(kChunkBytes, '\0');
   while (!parser_->is_done()) {
@@ -384,16 +428,7 @@
       co_return chunk;
     }
   }
-  if (IsReusable()) {
-    auto& idle = pool_->idle[call_.address];
-    if (idle.size() < kMaxIdlePerAddress) {
-      stream_->expires_never();
-      const Time now = Now();
-      idle.push_back(
-          {std::move(stream_), now, now + idle_timeout_, earlier_answers_ + 1});
-      is_kept_ = true;
-    }
-  }
+  KeepConnection();
   co_return std::string();
 }
 
