End an exchange whose peer always has more to read

A body without end was read beyond the deadline for as long as it came fast: the timer of a read fires only if the read waits. For orders and reports with 60 ms this is how much a server can write; for requests, how long it holds them.

Change: what has arrived by the deadline is read for 100 ms after it, since ready answers are delivered late too; then the exchange ends. The end of late reads is a stored time.

--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -275,6 +275,8 @@
   // Reads a part of the body into `chunk` and returns its size, which may be 0.
   awaitable<Result<size_t>> ReadSome(std::string* chunk);
   void SetTimeout();
+  // Whether nothing more may be read, also of what has arrived.
+  bool IsTooLate(Time now);
   awaitable<Result<Done>> SkipRest(uint64_t max_bytes, Time until);
   // Keeps the connection for reuse if that is possible.
   void KeepConnection();
@@ -294,6 +296,8 @@
   std::shared_ptr<struct HttpUpload> upload_;
   Duration idle_timeout_;
   Time sent_;
+  // Set by the first read after the deadline: the end of later ones.
+  Time late_reads_until_;
   bool may_have_reached_ = false;
   bool is_reusable_ = true;
   bool reused_ = false;
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -38,6 +38,10 @@
 // The rest of an answer to another request arrives with its beginning.
 constexpr Duration kMaxSkipTime = std::chrono::seconds(1);
 
+// What has arrived by the deadline is read after it too, for at most this long:
+// a peer that always has more to read would never let a timer end the exchange.
+constexpr Duration kLateReadTime = std::chrono::milliseconds(100);
+
 constexpr char kBodyTooLong[] = "the body is too long";
 
 constexpr NameTable<ConnectionEnd, 3> kConnectionEndNames{{
@@ -168,6 +172,16 @@
   stream_->expires_after(left);
 }
 
+bool HttpExchange::IsTooLate(Time now) {
+  if (now < call_.deadline) {
+    return false;
+  }
+  if (late_reads_until_ == Time()) {
+    late_reads_until_ = now + kLateReadTime;
+  }
+  return now >= late_reads_until_;
+}
+
 void HttpExchange::DiscardSilentConnections() {
   const auto found = pool_->idle.find(call_.address);
   if (found != pool_->idle.end()) {
@@ -332,6 +346,9 @@
 }
 
 awaitable<Result<size_t>> HttpExchange::ReadSome(std::string* chunk) {
+  if (IsTooLate(Now())) {
+    co_return MakeError(Step::kReceive, beast::error::timeout);
+  }
   auto& body = parser_->get().body();
   body.data = chunk->data();
   body.size = chunk->size();
@@ -365,6 +382,7 @@
     }
   }
   call_.deadline = deadline;
+  late_reads_until_ = Time();
   if (failure) {
     co_return *std::move(failure);
   }
