Walk the structure of messages of hosts before they are decoded

A message of another host that is nested deeply ended the process: a datagram of 40,000 bytes 0x81 (direct mode) or a message of 1 MB over HTTP/2 (relay mode). An array or map with a length above 2^59 left the handler by an exception, and the sender got neither an answer nor a reset until its deadline.

nlohmann's CBOR reader calls itself for each level, also for the parts of strings of indefinite length, which no SAX handler sees; 20,000 levels were decoded, 40,000 ended in a segmentation fault. Lengths beyond max_size throw even where exceptions are switched off.

DecodeCbor walks heads and lengths without recursion first: at most 32 levels, no length beyond the bytes, none of the forms that the encoder never writes. Weighed: a SAX handler with a depth (does not see nested strings), a bound on indefinite forms alone (arrays with a length nest too).

Failed before: bounded_cbor/deep_datagrams_are_errors with a memory access violation, peer_bounds/hostile_messages_are_errors with 4 checks and then the end of the process. Bounded before, by nghttp2 or by Read, and now tested: header sections and CONTINUATION frames without an end, length prefixes above the limit.

--- a/rosemaryhook/bounded_cbor.h
+++ b/rosemaryhook/bounded_cbor.h
@@ -1,6 +1,11 @@
-// Reads CBOR that another host has sent.
+// Decodes CBOR (RFC 8949) that another process has sent.
 //
-//   const Json json = ParseBoundedCbor(bytes);  // throws Json::exception
+//   const nlohmann::json message = DecodeCbor(bytes);
+//   if (message.is_discarded()) { ... }
+//
+// Values that are nested deeply would exhaust the stack, and lengths beyond the
+// end of the bytes would exhaust the memory or throw; both are refused, as are
+// the forms that nlohmann's encoder never writes: tags and indefinite lengths.
 #ifndef ROSEMARYHOOK_BOUNDED_CBOR_H_
 #define ROSEMARYHOOK_BOUNDED_CBOR_H_
 
@@ -9,10 +14,11 @@
 
 namespace rosemaryhook {
 
-// Throws Json::exception for bytes that are not one complete value, and for a
-// value that is nested deeply: the library reads a nested value by recursion,
-// which would exhaust the stack.
-nlohmann::json ParseBoundedCbor(std::string_view bytes);
+// Messages between hosts are nested up to eight levels deep.
+constexpr size_t kMaxCborDepth = 32;
+
+// Returns a discarded value if `bytes` is not exactly one document.
+nlohmann::json DecodeCbor(std::string_view bytes);
 
 }  // namespace rosemaryhook
 
--- a/rosemaryhook/peer_connection.cc
+++ b/rosemaryhook/peer_connection.cc
@@ -40,15 +40,6 @@
   return size;
 }
 
-// A discarded value for bytes that are no message.
-json ParseMessage(std::string_view bytes) {
-  try {
-    return ParseBoundedCbor(bytes);
-  } catch (const json::exception&) {
-    return json(json::value_t::discarded);
-  }
-}
-
 nghttp2_nv MakeHeader(std::string_view name, std::string_view value) {
   auto* n = reinterpret_cast<uint8_t*>(const_cast<char*>(name.data()));
   auto* v = reinterpret_cast<uint8_t*>(const_cast<char*>(value.data()));
@@ -222,8 +213,8 @@
                         "message from the peer exceeds the size limit"};
       }
       if (receive_buffer_.size() >= kLengthBytes + size) {
-        const auto begin = receive_buffer_.begin() + kLengthBytes;
-        json message = ParseMessage({begin, begin + size});
+        json message = DecodeCbor(
+            std::string_view(receive_buffer_).substr(kLengthBytes, size));
         receive_buffer_.erase(0, kLengthBytes + size);
         connection_->Consume(id_, kLengthBytes + size);
         if (message.is_discarded()) {
--- a/rosemaryhook/peer_connection.h
+++ b/rosemaryhook/peer_connection.h
@@ -37,6 +37,10 @@
 constexpr size_t kStreamBufferBytes = 256 << 10;
 constexpr size_t kMaxMessageBytes = 2 << 20;
 
+// All connections of a process together hold at most this much of data that was
+// received and not read.
+constexpr size_t kMaxUnreadBytes = 32 << 20;
+
 class PeerConnection;
 
 // One end of a bidirectional stream of messages on a connection.
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -204,8 +204,12 @@
 }
 
 Result<PeerMessage> ParsePeerMessage(const std::string& bytes) {
+  const Json json = DecodeCbor(bytes);
+  if (json.is_discarded()) {
+    return Error{Step::kPeer, "", "not valid CBOR, or nested too deeply"};
+  }
   try {
-    return DecodeMessage(ParseBoundedCbor(bytes));
+    return DecodeMessage(json);
   } catch (const Json::exception& e) {
     return Error{Step::kPeer, "", e.what()};
   }
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,13 +1,14 @@
 # Unit tests, which run in virtual time; one ctest entry per suite.
 set(UNIT_SUITES
   adapter_demand adapter_plan answer_head answer_match api backend_state
-  claims contact deployment direct_state endless_requests event_splitter
-  fleet_state http_io idempotency joined_heads endless_bytes load_pacing
-  list_trust membership peer_backlog peer_reads placement platform_codec rates
-  prompt_suspects repeat_limits request_memory retries routing runner_choice
-  runner_ownership runner_ownership_leaving send_pause send_rate settings
-  statements store_era sheet silent_connections stream_stalls suspects
-  thundering_herd token_limits token_limits_restart token_record named_limit)
+  bounded_cbor claims contact deployment direct_state endless_requests
+  event_splitter fleet_state http_io idempotency joined_heads endless_bytes
+  load_pacing list_trust membership peer_backlog peer_bounds peer_reads
+  placement platform_codec rates prompt_suspects repeat_limits request_memory
+  retries routing runner_choice runner_ownership runner_ownership_leaving
+  send_pause send_rate settings statements store_era sheet silent_connections
+  stream_stalls suspects thundering_herd token_limits token_limits_restart
+  token_record named_limit)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
