Bound the unread data of all connections between hosts

Four connections with 14 streams each, all of them within their windows, made a host hold 203 to 232 MB of messages that never end: the window of a connection is 32 MB, and nothing bounds the connections.

All streams of a process now count their unread data against 32 MB. Beyond it the streams that hold the most for the longest time are reset, and their reader gets an error, never a complete end. Weighed: smaller windows (four times as many connections undo them), closing the connection (other streams of an honest host end with it).

--- a/rosemaryhook/peer_connection.cc
+++ b/rosemaryhook/peer_connection.cc
@@ -10,6 +10,7 @@
 #include "rosemaryhook/bounded_cbor.h"
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/request_memory.h"
 
 namespace rosemaryhook {
 namespace {
@@ -22,6 +23,17 @@
 constexpr int32_t kConnectionWindowBytes = 32 << 20;
 PeerTraffic total_traffic;
 
+// Unread data of all streams of this process.
+struct UnreadData {
+  RequestMemory memory{.limit = kMaxUnreadBytes};
+  std::map<int64_t, PeerStream*> streams;  // by id in `memory`
+};
+
+UnreadData& AllUnreadData() {
+  static UnreadData data;
+  return data;
+}
+
 std::string EncodeMessage(const json& message) {
   std::string out(kLengthBytes, '\0');
   json::to_cbor(message, out);
@@ -120,8 +132,7 @@
                     size_t size,
                     void* user) {
     if (const auto stream = Self(user)->FindStream(id)) {
-      stream->receive_buffer_.append(reinterpret_cast<const char*>(data), size);
-      stream->readable_.Notify();
+      stream->Receive(reinterpret_cast<const char*>(data), size);
     }
     return 0;
   }
@@ -193,18 +204,64 @@
       readable_(connection_->executor()),
       writable_(connection_->executor()) {}
 
+PeerStream::~PeerStream() {
+  DropUnread();
+}
+
+void PeerStream::Receive(const char* data, size_t size) {
+  receive_buffer_.append(data, size);
+  UpdateUnread();
+  if (is_dropped_) {
+    DropUnread();
+  }
+  readable_.Notify();
+}
+
+void PeerStream::UpdateUnread() {
+  UnreadData& all = AllUnreadData();
+  if (receive_buffer_.empty()) {
+    EndRequest(unread_id_, &all.memory);
+    all.streams.erase(std::exchange(unread_id_, 0));
+    return;
+  }
+  if (unread_id_ == 0) {
+    unread_id_ = BeginRequest(Now(), &all.memory);
+    all.streams[unread_id_] = this;
+  }
+  for (const int64_t id :
+       HoldBytes(unread_id_, receive_buffer_.capacity(), Now(), &all.memory)) {
+    PeerStream* stream = all.streams.at(id);
+    Log("peer_stream_refused_for_memory",
+        {{"peer", stream->connection_->remote()},
+         {"path", stream->path_},
+         {"bytes", stream->receive_buffer_.size()},
+         {"limit", all.memory.limit}});
+    stream->Reset();
+    stream->is_dropped_ = true;
+    stream->DropUnread();
+    stream->readable_.Notify();
+  }
+}
+
 // Unread bytes still count against the connection's window and have to be
 // consumed.
-PeerStream::~PeerStream() {
-  if (!connection_->closed() && !receive_buffer_.empty()) {
-    nghttp2_session_consume_connection(connection_->session_,
-                                       receive_buffer_.size());
+void PeerStream::DropUnread() {
+  const size_t size = std::exchange(receive_buffer_, std::string()).size();
+  if (size > 0) {
+    UpdateUnread();
+  }
+  if (size > 0 && !connection_->closed()) {
+    nghttp2_session_consume_connection(connection_->session_, size);
     connection_->Flush();
   }
 }
 
 awaitable<Result<std::optional<json>>> PeerStream::Read(Time deadline) {
   while (true) {
+    if (is_dropped_) {
+      co_return Error{Step::kPeer, connection_->remote(),
+                      "too much unread data from all peers"};
+    }
     if (receive_buffer_.size() >= kLengthBytes) {
       const size_t size = DecodeLength(receive_buffer_);
       if (size > kMaxMessageBytes) {
@@ -216,6 +273,7 @@
         json message = DecodeCbor(
             std::string_view(receive_buffer_).substr(kLengthBytes, size));
         receive_buffer_.erase(0, kLengthBytes + size);
+        UpdateUnread();
         connection_->Consume(id_, kLengthBytes + size);
         if (message.is_discarded()) {
           Reset();
--- a/rosemaryhook/peer_connection.h
+++ b/rosemaryhook/peer_connection.h
@@ -12,7 +12,9 @@
 // an error.
 //
 // Memory: a stream buffers at most kStreamBufferBytes plus one message to send,
-// and kMaxMessageBytes plus kStreamBufferBytes received.
+// and kMaxMessageBytes plus kStreamBufferBytes received; all streams of a
+// process together hold at most kMaxUnreadBytes received. Beyond that those are
+// reset that hold the most for the longest time (request_memory.h).
 #ifndef ROSEMARYHOOK_PEER_CONNECTION_H_
 #define ROSEMARYHOOK_PEER_CONNECTION_H_
 
@@ -72,10 +74,18 @@
   friend class PeerConnection;
   friend struct PeerCallbacks;
 
+  void Receive(const char* data, size_t size);
+  // Accounts for the unread data, after it has changed.
+  void UpdateUnread();
+  // Discards what was received and not read.
+  void DropUnread();
+
   std::shared_ptr<PeerConnection> connection_;
   int32_t id_ = 0;
   std::string path_;
   std::string receive_buffer_;
+  int64_t unread_id_ = 0;    // in the account of unread data, 0 if none
+  bool is_dropped_ = false;  // what was received, for the memory
   std::string send_buffer_;
   bool receive_ended_ = false;
   bool send_ended_ = false;
