Count streams that crash their runners after an event

Callers saw: a request that crashes each runner that streams its answer came again and again, each copy ended one more runner, and sound streams on these runners broke off.

Cause: whole requests were counted only when an attempt ended before the first byte of an answer, by any broken connection. An attempt whose answer had begun was left out. The count was a number, of which hosts kept the higher one, and no good answer ever lowered it.

Change: the whole request is a part of a kind of its own beside the parts of prompts (prompt_suspects.h): crashes by runner and start, merged as sets, only of runners that refuse connections after they broke off. An answer that begins clears parts of prompts as before; only a complete answer clears the whole request, so that a crash in the middle counts. An answer without length or chunks ends with its connection and clears nothing. The two kinds are judged apart, so prompt parts are blocked as before. A request is refused after three crashes at different times; a request that was lost in the same crashes leaves both unrefused until another crash tells them apart. Blocked requests are tried after 10 s, 60 s and 360 s by the one host that tries parts.

Most requests are lost with a runner only once, so the first crash of a request waits for the next message between hosts; the second is told at once.

Ruled out: the count of broken connections alone (a runner that is killed breaks off all that it runs).

Evidence: process.crashing_requests.a_stream_that_crashes_after_an_event_is_refused, four runners, a copy each 0.4 s through two hosts, three kinds of streams.

--- a/rosemaryhook/direct_admission.cc
+++ b/rosemaryhook/direct_admission.cc
@@ -11,29 +11,18 @@
 namespace rosemaryhook {
 namespace {
 
-// A request that has crashed this many backend servers is refused: the platform
-// allows three retries of such a request.
-constexpr int kCrashRefusalThreshold = 3;
-
 // Bounds the memory for prompts of many parts.
 constexpr size_t kMaxPartKeys = 16;
 
 constexpr Duration kNoServiceRetryAfter = std::chrono::seconds(1);
 
-std::string Fingerprint(const DirectCall& call) {
+std::string KeyOf(const DirectCall& call) {
   // Requests without a body are often equal, so they are not compared.
   if (call.request.body.empty()) {
     return {};
   }
-  const std::string text =
-      call.customer + "\n" + call.request.target + "\n" + call.request.body;
-  return std::to_string(XXH3_64bits(text.data(), text.size()));
-}
-
-bool HasReachedCrashThreshold(const DirectCall& call) {
-  return !call.fingerprint.empty() &&
-         CrashCount(call.daemon->suspects, call.fingerprint, Now()) >=
-             kCrashRefusalThreshold;
+  return RequestKey(call.customer, call.request.method, call.request.target,
+                    call.request.body);
 }
 
 std::optional<DirectRefusal> FindCustomer(DirectCall* call) {
@@ -129,11 +118,8 @@
                              : daemon.settings.answer_limit;
   call->deadline =
       call->arrived + std::min(limit, call->headers.time_left.value_or(limit));
-  call->fingerprint = Fingerprint(*call);
+  call->request_key = KeyOf(*call);
   FindSharedPrompt(call);
-  if (HasReachedCrashThreshold(*call)) {
-    return MakeDirectRefusal(503, "crashes_runners", kCrashRetryAfter);
-  }
   if (CheckBlockedParts(call)) {
     return MakeDirectRefusal(503, call->no_runner_reason,
                              call->no_runner_retry_after);
--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -242,8 +242,7 @@
 bool IsEmpty(const PeerMessage& message) {
   return message.loads.empty() && message.limits.empty() &&
          message.tokens_used.empty() && message.totals.empty() &&
-         message.owned.empty() && message.suspects.empty() &&
-         message.parts.empty();
+         message.owned.empty() && message.parts.empty();
 }
 
 void SendToAll(const PeerMessage& message, DirectDaemon* daemon) {
@@ -294,13 +293,18 @@
 
 // A part that was sent at once is sent again with the next message, and one
 // that may soon be blocked with every full one, for hosts that have missed it.
+// Others wait for the next message that has room.
 void AddRepeatedParts(bool is_full,
                       Time now,
                       DirectDaemon* daemon,
                       PeerMessage* message) {
-  std::set<std::string> parts = std::exchange(daemon->parts_sent, {});
+  std::set<std::string> parts;
   if (is_full) {
-    parts.merge(PartsToRepeat(daemon->prompt_suspects, now));
+    parts = PartsToRepeat(daemon->prompt_suspects, now);
+  }
+  auto& sent = daemon->parts_sent;
+  while (!sent.empty() && parts.size() < kMaxPartsPerMessage) {
+    parts.insert(sent.extract(sent.begin()));
   }
   message->parts = PartsToJson(daemon->prompt_suspects, parts, now);
 }
@@ -314,11 +318,6 @@
   AddLoads(is_full, last_sent, daemon, &out);
   AddTokensUsed(*daemon, is_full, last_sent, &out.common);
   AddLimits(is_full, last_sent, *daemon, &out.common);
-  out.common.suspects = SuspectsToJson(
-      SuspectsToBroadcast(daemon->suspects,
-                          std::exchange(daemon->suspects_changed, {}), is_full,
-                          now),
-      now);
   AddRepeatedParts(is_full, now, daemon, &out.common);
   if (is_full) {
     out.common.operators = daemon->settings.operators;
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -557,7 +557,10 @@
     exchange.Cancel();
   }
   outcome.is_connection_refused = exchange.is_refused();
-  outcome.is_closed_by_peer = exchange.is_closed_by_peer();
+  outcome.ends_with_connection = exchange.ends_with_connection();
+  outcome.is_closed_by_peer =
+      exchange.is_closed_by_peer() ||
+      (outcome.end == AttemptEnd::kTruncated && outcome.ends_with_connection);
   outcome.is_new_connection = !exchange.reused();
   outcome.has_joined_head = exchange.has_joined_head();
   outcome.is_excessive = exchange.is_excessive();
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -31,7 +31,7 @@
   double shared_tokens = 0;   // number of tokens in those parts
   // Keys of the prompt parts that other requests may share.
   std::vector<std::string> part_keys;
-  std::string fingerprint;  // equal for equal requests; empty if not compared
+  std::string request_key;  // equal for equal requests; empty if not compared
   bool is_disconnected = false;      // the caller closed its connection
   HttpExchange* exchange = nullptr;  // of the attempt in progress
 
@@ -47,7 +47,7 @@
   std::string last_runner;
   std::string no_runner_reason;
   std::optional<Duration> no_runner_retry_after;
-  bool is_blocked = false;  // a part of its prompt crashes runners
+  bool is_blocked = false;  // it, or a part of its prompt, crashes runners
   bool is_trial = false;    // sent all the same, to learn whether it still does
   Time first_sent;          // to any backend server
   Time first_token;         // of the answer
@@ -84,6 +84,9 @@
   bool is_new_connection = false;
   int earlier_answers = 0;
   ConnectionEnd connection_end = ConnectionEnd::kClosed;
+  // The end of the connection is the only end that the answer has, so that it
+  // may not be complete.
+  bool ends_with_connection = false;
 };
 
 // Sends the call to `runner`, an id in `daemon->runners`, and forwards the
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -29,7 +29,6 @@
 #include "rosemaryhook/settings.h"
 #include "rosemaryhook/signal.h"
 #include "rosemaryhook/store.h"
-#include "rosemaryhook/suspects.h"
 #include "rosemaryhook/token_limits.h"
 
 namespace rosemaryhook {
@@ -90,10 +89,12 @@
   Signal answered;
 };
 
-// A runner that broke off requests which waited for their answers.
+// A runner that broke off requests.
 struct BrokenRunner {
-  std::set<std::string> parts;  // of the prompts of those requests
-  Time checked_at;              // when it was last checked for a crash
+  // Those requests, and the parts of the prompts of those that waited for their
+  // answers.
+  std::set<std::string> parts;
+  Time checked_at;  // when it was last checked for a crash
   bool has_crashed = false;
 };
 
@@ -174,17 +175,17 @@
 
   TokenLimits tokens;
   RepeatLimits repeats;
-  Suspects suspects;
-  std::set<std::string> suspects_changed;  // to broadcast, by fingerprint
 
-  // Parts of prompts that crash runners (direct_suspects.h).
+  // Requests and parts of prompts that crash runners (direct_suspects.h).
   PromptSuspects prompt_suspects;
   std::map<std::string, BrokenRunner> broken_runners;  // by incarnation
   std::set<std::string> parts_changed;                 // to broadcast
-  std::set<std::string> parts_sent;  // to broadcast once more, in case of loss
-  Time parts_due;                    // when `parts_changed` is sent
-  bool are_crashes_new = false;      // since the parts were last blocked
-  Signal part_signal;                // wakes the loop that blocks
+  // To broadcast with the next message, for the first time or once more in case
+  // of loss.
+  std::set<std::string> parts_sent;
+  Time parts_due;                // when `parts_changed` is sent
+  bool are_crashes_new = false;  // since the parts were last blocked
+  Signal part_signal;            // wakes the loop that blocks
   std::set<DirectCall*> running_calls;
 
   std::list<Signal*> runner_waiters;  // requests that wait for a runner
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -214,7 +214,6 @@
     RecordAdapterSent(sent, now, daemon);
   }
   MergePeerLimits(message, now, daemon);
-  MergeSuspects(message.suspects, now, &daemon->suspects);
   if (!message.parts.empty()) {
     MergeParts(message.parts, now, &daemon->prompt_suspects,
                &daemon->parts_changed);
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -508,14 +508,6 @@
   } else {
     call->tried.insert(runner);
   }
-  const bool may_be_crash = outcome.end == AttemptEnd::kUnknown &&
-                            !outcome.is_unproven_refusal &&
-                            !outcome.is_excessive && !call->is_disconnected &&
-                            !call->is_blocked && Now() < call->deadline;
-  if (may_be_crash && !call->fingerprint.empty()) {
-    RecordCrash(call->fingerprint, Now(), &daemon.suspects);
-    daemon.suspects_changed.insert(call->fingerprint);
-  }
 }
 
 awaitable<void> Dispatch(DirectCall& call) {
@@ -536,6 +528,9 @@
     } else if (call.sends > 1) {
       LogAttempt(call, outcome, runner);
     }
+    if (outcome.end == AttemptEnd::kAnswered && !outcome.ends_with_connection) {
+      RecordAnswerEnd(call);
+    }
     switch (DecideNext(call, outcome)) {
       case NextStep::kDone:
         co_return LogRequestEnd(call, "served", 200,
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -1,7 +1,10 @@
-// A broken attempt starts one check of its runner; the parts of all requests
-// that broke off before its answer are recorded if the runner has crashed.
+// A broken attempt starts one check of its runner. If the runner has crashed,
+// all requests that broke off are recorded, and the parts of the prompts of
+// those whose answers had not begun.
 #include "rosemaryhook/direct_suspects.h"
 
+#include <algorithm>
+
 #include "rosemaryhook/direct_admission.h"
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/list_sharing.h"
@@ -29,13 +32,49 @@
 
 constexpr Duration kMaxBlockWait = std::chrono::seconds(5);
 
+// Most requests are lost with their runner only once, so that the first crash
+// of a request is no reason for messages of its own.
+bool IsUrgent(const std::string& part, const DirectDaemon& daemon) {
+  return !IsRequestKey(part) ||
+         SeparateCrashes(daemon.prompt_suspects.by_part.at(part), Now()) > 1;
+}
+
+void TellOfPart(const std::string& part, DirectDaemon* daemon) {
+  if (IsUrgent(part, *daemon)) {
+    AddChangedPart(part, daemon);
+  } else {
+    daemon->parts_sent.insert(part);
+  }
+}
+
+// What may have crashed the runner of the call's newest attempt.
+std::vector<std::string> SuspectedParts(const DirectCall& call) {
+  std::vector<std::string> parts;
+  if (!call.attempt_has_begun) {
+    parts = call.part_keys;
+  }
+  if (!call.request_key.empty()) {
+    parts.push_back(call.request_key);
+  }
+  return parts;
+}
+
+std::string BlockedPartOf(const DirectCall& call) {
+  if (call.daemon->prompt_suspects.blocked.empty()) {
+    return {};
+  }
+  std::vector<std::string> parts = call.part_keys;
+  parts.push_back(call.request_key);
+  return BlockedPart(call.daemon->prompt_suspects, parts);
+}
+
 void RecordCrashOf(const std::string& incarnation,
                    const std::set<std::string>& parts,
                    DirectDaemon* daemon) {
   const Time now = Now();
   for (const std::string& part : parts) {
     if (RecordPartCrash(part, incarnation, now, &daemon->prompt_suspects)) {
-      AddChangedPart(part, daemon);
+      TellOfPart(part, daemon);
     }
   }
   RecordPartChange(daemon);
@@ -47,8 +86,11 @@
     return;
   }
   found->second.has_crashed = true;
-  Log("runner_crash",
-      {{"start", incarnation}, {"waiting_parts", found->second.parts.size()}});
+  const auto& parts = found->second.parts;
+  const auto requests = std::count_if(parts.begin(), parts.end(), IsRequestKey);
+  Log("runner_crash", {{"start", incarnation},
+                       {"requests", requests},
+                       {"waiting_parts", parts.size() - requests}});
   RecordCrashOf(incarnation, found->second.parts, daemon);
 }
 
@@ -149,16 +191,17 @@
   const bool is_leaving =
       view == daemon.runners.end() || view->second.entry.is_leaving ||
       HasSaidLeaving(view->second) || view->second.removed_at != Time();
-  if (!outcome.is_closed_by_peer || call.attempt_has_begun ||
-      call.part_keys.empty() || call.is_blocked || is_leaving) {
+  const std::vector<std::string> parts = SuspectedParts(call);
+  if (!outcome.is_closed_by_peer || parts.empty() || call.is_blocked ||
+      is_leaving) {
     return;
   }
   BrokenRunner& broken = daemon.broken_runners[call.attempt_incarnation];
-  broken.parts.insert(call.part_keys.begin(), call.part_keys.end());
+  broken.parts.insert(parts.begin(), parts.end());
   const Time now = Now();
   if (broken.has_crashed) {
-    RecordCrashOf(call.attempt_incarnation,
-                  {call.part_keys.begin(), call.part_keys.end()}, &daemon);
+    RecordCrashOf(call.attempt_incarnation, {parts.begin(), parts.end()},
+                  &daemon);
   } else if (now - broken.checked_at >= kCheckInterval) {
     broken.checked_at = now;
     asio::co_spawn(daemon.io,
@@ -181,14 +224,24 @@
   }
 }
 
+void RecordAnswerEnd(const DirectCall& call) {
+  DirectDaemon& daemon = *call.daemon;
+  for (const std::string& request :
+       RecordPartsBegun({call.request_key}, &daemon.prompt_suspects)) {
+    daemon.parts_sent.insert(request);
+    if (daemon.prompt_suspects.blocked.contains(request)) {
+      AddChangedPart(request, &daemon);
+      RecordPartChange(&daemon);
+    }
+  }
+}
+
 bool HasBlockedPart(const DirectCall& call) {
-  return !call.is_trial &&
-         !BlockedPart(call.daemon->prompt_suspects, call.part_keys).empty();
+  return !call.is_trial && !BlockedPartOf(call).empty();
 }
 
 bool CheckBlockedParts(DirectCall* call) {
-  const std::string part =
-      BlockedPart(call->daemon->prompt_suspects, call->part_keys);
+  const std::string part = BlockedPartOf(*call);
   call->is_blocked = !part.empty() && !call->is_trial;
   if (!call->is_blocked) {
     return false;
@@ -203,7 +256,8 @@
     Log("part_trial", {{"id", call->headers.request_id}, {"part", part}});
     return false;
   }
-  call->no_runner_reason = "crashing_part_" + part;
+  call->no_runner_reason =
+      (IsRequestKey(part) ? "crashing_" : "crashing_part_") + part;
   call->no_runner_retry_after = kCrashRetryAfter;
   return true;
 }
--- a/rosemaryhook/direct_suspects.h
+++ b/rosemaryhook/direct_suspects.h
@@ -1,14 +1,15 @@
-// Finds the parts of prompts that crash runners, and ends the requests with
-// them that have not begun to be answered.
+// Finds the requests and parts of prompts that crash runners, and ends the
+// requests with them that have not begun to be answered.
 //
 //   RecordAttemptEnd(call, outcome);  // after each attempt
 //   RecordAnswerBegun(&call);         // at the first event of an answer
+//   RecordAnswerEnd(call);            // at the end of a complete answer
 //   if (CheckBlockedParts(&call)) ... refuse ...
 //
 // prompt_suspects.h decides; this is its input and output. A runner has crashed
-// if it closed the connection of a request that waited for its answer, without
-// having announced that it leaves, and then refuses connections. A runner that
-// is only unreachable, slow or faulty does not refuse connections.
+// if it closed the connection of a request before the end of its answer,
+// without having announced that it leaves, and then refuses connections. A
+// runner that is only unreachable, slow or faulty does not refuse connections.
 #ifndef ROSEMARYHOOK_DIRECT_SUSPECTS_H_
 #define ROSEMARYHOOK_DIRECT_SUSPECTS_H_
 
@@ -25,12 +26,16 @@
 // of its prompt.
 void RecordAnswerBegun(DirectCall* call);
 
+// Records that the caller has a complete answer, which clears the whole
+// request.
+void RecordAnswerEnd(const DirectCall& call);
+
 // Records that crashes or cleared crashes have become known, so that the
 // blocked parts are updated.
 void RecordPartChange(DirectDaemon* daemon);
 
-// Whether the prompt has a part that crashes runners. Sets the reason and
-// Retry-After of the call's refusal if so.
+// Whether the request, or a part of its prompt, crashes runners. Sets the
+// reason and Retry-After of the call's refusal if so.
 bool CheckBlockedParts(DirectCall* call);
 
 // The same for a call that is about to be sent.
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -249,7 +249,9 @@
   uint64_t stated_length() const;
 
   // Whether the answer has neither a length nor chunks.
-  bool ends_with_connection() const { return parser_->need_eof(); }
+  bool ends_with_connection() const {
+    return parser_ != nullptr && parser_->need_eof();
+  }
 
   // Whether the request was sent on a reused connection.
   bool reused() const { return reused_; }
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -141,7 +141,6 @@
     message.load_requests.push_back(LoadRequestFromJson(item));
   }
   message.limits = LimitsFromJson(json.value("m", Json::object()));
-  message.suspects = json.value("x", Json::object());
   message.parts = json.value("k", Json::object());
   if (const auto probe = json.find("p"); probe != json.end()) {
     message.probe = {probe->at(0).get<int64_t>(),
@@ -189,7 +188,6 @@
   add("o", message.owned);
   add("w", LoadRequestsToJson(message.load_requests));
   add("m", LimitsToJson(message.limits));
-  add("x", message.suspects);
   add("k", message.parts);
   if (message.probe.id != 0) {
     json["p"] = Json::array({message.probe.id, message.probe.runners});
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -86,8 +86,7 @@
   std::vector<SentRequest> sent;
   std::vector<ListUpdate> updates;
   std::map<std::string, PeerLimit> limits;  // by runner
-  Json suspects = Json::object();
-  Json parts = Json::object();  // of prompts (prompt_suspects.h)
+  Json parts = Json::object();              // prompt_suspects.h
 };
 
 // Encodes a message as CBOR; ParsePeerMessage returns an error for bytes that
--- a/rosemaryhook/prompt_suspects.cc
+++ b/rosemaryhook/prompt_suspects.cc
@@ -17,6 +17,12 @@
 
 constexpr size_t kMaxDescribedCrashes = 8;  // bounds a log line
 
+constexpr std::string_view kRequestPrefix = "request_";
+
+std::string Hash(const std::string& text) {
+  return fmt::format("{:016x}", XXH3_64bits(text.data(), text.size()));
+}
+
 bool Counts(const PartCrash& crash, Time now) {
   return !crash.is_cleared && now - crash.at < kPartCrashTimeout;
 }
@@ -56,15 +62,17 @@
   std::vector<std::pair<Time, std::string>> open;
 };
 
-// The candidate with the most crashes, the first by key among equals; its
-// `part` is empty if there is none.
+// The candidate of one kind with the most crashes, the first by key among
+// equals; its `part` is empty if there is none.
 Candidate NextCandidate(const PromptSuspects& suspects,
+                        bool are_requests,
                         const std::set<std::string>& explained,
                         const std::set<std::string>& done,
                         Time now) {
   Candidate best;
   for (const auto& [part, suspect] : suspects.by_part) {
-    if (done.contains(part) || suspect.crashes.size() < kCrashesToBlock) {
+    if (done.contains(part) || suspect.crashes.size() < kCrashesToBlock ||
+        IsRequestKey(part) != are_requests) {
       continue;
     }
     auto open = OpenCrashes(suspect, explained, now);
@@ -78,13 +86,18 @@
   return best;
 }
 
-// Candidates in the order in which they explain crashes. The crashes of parts
-// that are blocked are explained already.
-std::vector<Candidate> Candidates(const PromptSuspects& suspects, Time now) {
+// Candidates of one kind in the order in which they explain crashes. The
+// crashes of parts that are blocked are explained already.
+std::vector<Candidate> CandidatesOfKind(const PromptSuspects& suspects,
+                                        bool are_requests,
+                                        Time now) {
   std::vector<Candidate> candidates;
   std::set<std::string> explained;
   std::set<std::string> done;
   for (const auto& [part, group] : suspects.blocked) {
+    if (IsRequestKey(part) != are_requests) {
+      continue;
+    }
     done.insert(part);
     const auto known = suspects.by_part.find(part);
     if (known != suspects.by_part.end()) {
@@ -94,7 +107,8 @@
     }
   }
   while (true) {
-    Candidate next = NextCandidate(suspects, explained, done, now);
+    Candidate next =
+        NextCandidate(suspects, are_requests, explained, done, now);
     if (next.part.empty()) {
       return candidates;
     }
@@ -106,6 +120,13 @@
   }
 }
 
+std::vector<Candidate> Candidates(const PromptSuspects& suspects, Time now) {
+  std::vector<Candidate> candidates = CandidatesOfKind(suspects, false, now);
+  std::vector<Candidate> requests = CandidatesOfKind(suspects, true, now);
+  std::move(requests.begin(), requests.end(), std::back_inserter(candidates));
+  return candidates;
+}
+
 // Whether a request with the part of `suspect` was lost in each of `crashes`.
 bool HasAllCrashes(const PartSuspect& suspect,
                    const std::vector<std::pair<Time, std::string>>& crashes,
@@ -117,14 +138,16 @@
          });
 }
 
-// The parts that were lost in all open crashes of `part`, itself included.
+// The parts of the same kind that were lost in all open crashes of `part`,
+// itself included.
 std::set<std::string> GroupOf(const std::string& part,
                               const PromptSuspects& suspects,
                               Time now) {
   std::set<std::string> group{part};
   const auto open = OpenCrashes(suspects.by_part.at(part), {}, now);
   for (const auto& [other, suspect] : suspects.by_part) {
-    if (HasAllCrashes(suspect, open, now)) {
+    if (IsRequestKey(other) == IsRequestKey(part) &&
+        HasAllCrashes(suspect, open, now)) {
       group.insert(other);
     }
   }
@@ -148,6 +171,20 @@
   return most;
 }
 
+Duration TrialInterval(const std::string& part,
+                       const PartSuspect& suspect,
+                       Time now) {
+  if (!IsRequestKey(part)) {
+    return kTrialInterval;
+  }
+  Duration interval = kRequestTrialInterval;
+  for (int i = kCrashesToBlock;
+       i < SeparateCrashes(suspect, now) && interval < kPartCrashTimeout; ++i) {
+    interval *= kRequestTrialFactor;
+  }
+  return interval;
+}
+
 Time LastCrash(const PartSuspect& suspect) {
   Time last;
   for (const auto& [incarnation, crash] : suspect.crashes) {
@@ -267,8 +304,19 @@
 }  // namespace
 
 std::string PartKey(std::string_view service, std::string_view part_id) {
-  const std::string text = std::string(service) + "\n" + std::string(part_id);
-  return fmt::format("{:016x}", XXH3_64bits(text.data(), text.size()));
+  return Hash(std::string(service) + "\n" + std::string(part_id));
+}
+
+std::string RequestKey(std::string_view customer,
+                       std::string_view method,
+                       std::string_view target,
+                       std::string_view body) {
+  return std::string(kRequestPrefix) +
+         Hash(fmt::format("{}\n{}\n{}\n{}", customer, method, target, body));
+}
+
+bool IsRequestKey(std::string_view part) {
+  return part.starts_with(kRequestPrefix);
 }
 
 std::string RunnerIncarnation(std::string_view runner, int64_t start_ms) {
@@ -370,7 +418,8 @@
     return false;
   }
   PartSuspect& suspect = known->second;
-  if (now - std::max(LastCrash(suspect), suspect.tried) < kTrialInterval) {
+  if (now - std::max(LastCrash(suspect), suspect.tried) <
+      TrialInterval(part, suspect, now)) {
     return false;
   }
   suspect.tried = now;
--- a/rosemaryhook/prompt_suspects.h
+++ b/rosemaryhook/prompt_suspects.h
@@ -1,7 +1,9 @@
-// Detects parts of prompts that crash the runners that answer them.
+// Detects parts of prompts, and whole requests, that crash the runners that
+// answer them.
 //
 //   RecordPartCrash(part, incarnation, now, &suspects);
 //   RecordPartsBegun(parts, &suspects);     // an answer has begun
+//   RecordPartsBegun({request}, &suspects);  // an answer is complete
 //   UpdateBlockedParts(now, &suspects);
 //   if (!BlockedPart(suspects, parts).empty()) ... refuse, not run ...
 //
@@ -12,6 +14,10 @@
 // part is blocked by crashes of several runners at different times, and
 // cleared of all crashes so far by one answer that begins.
 //
+// The same request may also come again and crash its runners later, in the
+// middle of its answer. The whole request is a part of a kind of its own, which
+// only a complete answer clears. The two kinds are judged apart.
+//
 // Hosts merge what they know: for each part the crashes, and whether an answer
 // has begun since. The result doesn't depend on the order of messages. Memory:
 // at most kMaxSuspectParts parts with kMaxCrashesPerPart crashes each.
@@ -48,6 +54,12 @@
 // caused may have blocked a sound part, and nothing else would clear it.
 constexpr Duration kTrialInterval = std::chrono::minutes(1);
 
+// The same for a whole request, which is known once it is blocked wrongly only
+// as far as it comes again. Each crash that follows multiplies the interval:
+// the platform allows three retries of a request that crashes runners.
+constexpr Duration kRequestTrialInterval = std::chrono::seconds(10);
+constexpr int kRequestTrialFactor = 6;
+
 constexpr size_t kMaxSuspectParts = 2048;
 constexpr size_t kMaxCrashesPerPart = 64;
 
@@ -75,6 +87,14 @@
 // The key of a prompt part of a service, of fixed length.
 std::string PartKey(std::string_view service, std::string_view part_id);
 
+// The key of a whole request. Equal for requests that are the same to their
+// runners.
+std::string RequestKey(std::string_view customer,
+                       std::string_view method,
+                       std::string_view target,
+                       std::string_view body);
+bool IsRequestKey(std::string_view part);
+
 // Identifies a runner's process between two starts.
 std::string RunnerIncarnation(std::string_view runner, int64_t start_ms);
 
@@ -84,8 +104,8 @@
                      Time now,
                      PromptSuspects* suspects);
 
-// Records that an answer to a request with `parts` has begun. Returns those
-// that it cleared of crashes.
+// Records that an answer to a request with `parts` has begun, or is complete
+// for a whole request. Returns those that it cleared of crashes.
 std::vector<std::string> RecordPartsBegun(const std::vector<std::string>& parts,
                                           PromptSuspects* suspects);
 
--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -20,7 +20,9 @@
 // this id starts draining), restart (the backend server with this id loses its
 // state and gets a new incarnation), crashing_part (text: a backend server that
 // begins to answer a prompt with this part crashes and is back later; GET
-// /ledger lists the requests with the part as "crashing").
+// /ledger lists the requests with the part as "crashing"), crashing_request
+// (text: the same for requests with it in path or body), crash_after_events (a
+// stream crashes its backend server after so many events).
 #include <openssl/evp.h>
 
 #include <CLI/CLI.hpp>
@@ -81,7 +83,7 @@
   std::map<std::string, std::string> customers;  // request id -> customer
   Json orders = Json::array();
   Json crashing =
-      Json::array();           // times at which requests with the part arrived
+      Json::array();           // times at which crashing requests began to run
   Duration service_time;       // of a request on a plain backend server
   std::string leaked_headers;  // that must not reach a backend server
 };
@@ -417,10 +419,27 @@
   ListenOrExit(site, backend->address, backend->server);
 }
 
-bool HasCrashingPart(const Site& site, const HttpRequest& request) {
+bool Crashes(const Site& site, const HttpRequest& request) {
   const std::string part = site.faults.values.value("crashing_part", "");
-  return !part.empty() &&
-         HeaderOf(request, "X-Prompt-Prefix").find(part) != std::string::npos;
+  const std::string text = site.faults.values.value("crashing_request", "");
+  return (!part.empty() && HeaderOf(request, "X-Prompt-Prefix").find(part) !=
+                               std::string::npos) ||
+         (!text.empty() && (request.target.find(text) != std::string::npos ||
+                            request.body.find(text) != std::string::npos));
+}
+
+// Ends a request that crashes its backend server, unless another one has done
+// so since `incarnation`.
+awaitable<void> AbortByCrash(Site* site,
+                             Backend* backend,
+                             int64_t incarnation,
+                             HttpReply& reply) {
+  site->crashing.push_back(Millis(Now().time_since_epoch()));
+  co_await Sleep(kCrashDelay);
+  if (backend->incarnation == incarnation) {
+    asio::co_spawn(site->io, CrashBackend(site, backend), asio::detached);
+  }
+  reply.Abort();
 }
 
 awaitable<void> StreamEvents(Site* site,
@@ -433,16 +452,17 @@
   int next = last.empty() ? 1 : std::stoi(last) + 1;
   const bool is_truncated = last.empty() && site->faults.ConsumeOne("cut");
   const int64_t incarnation = backend->incarnation;
-  if (HasCrashingPart(*site, request)) {
-    site->crashing.push_back(Millis(Now().time_since_epoch()));
-    co_await Sleep(kCrashDelay);
-    if (backend->incarnation == incarnation) {
-      asio::co_spawn(site->io, CrashBackend(site, backend), asio::detached);
-    }
-    co_return reply.Abort();
+  const bool crashes = Crashes(*site, request);
+  const int crash_at =
+      next + static_cast<int>(site->faults.Number("crash_after_events"));
+  if (crashes && next == crash_at) {
+    co_return co_await AbortByCrash(site, backend, incarnation, reply);
   }
   co_await reply.Begin(200, std::move(headers));
   for (; next <= kEventsPerStream; ++next) {
+    if (crashes && next == crash_at) {
+      co_return co_await AbortByCrash(site, backend, incarnation, reply);
+    }
     std::string event = "id: " + std::to_string(next) + "\ndata: e" +
                         std::to_string(next) + "\n\n";
     if (is_truncated && next == kEventsPerStream / 2) {
@@ -493,10 +513,17 @@
   }
   if (backend->has_engine) {
     co_await StreamEvents(site, backend, request, reply, std::move(headers));
-  } else {
-    co_await Sleep(site->service_time);
-    co_await reply.Send(200, std::move(headers), "ok " + request.body);
+    co_return;
+  }
+  const int64_t incarnation = backend->incarnation;
+  if (Crashes(*site, request)) {
+    co_return co_await AbortByCrash(site, backend, incarnation, reply);
+  }
+  co_await Sleep(site->service_time);
+  if (backend->incarnation != incarnation) {
+    co_return reply.Abort();
   }
+  co_await reply.Send(200, std::move(headers), "ok " + request.body);
 }
 
 awaitable<void> ServeBackend(Site* site,
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -27,7 +27,8 @@
   path failure idempotency backend direct refused_host takeover odd_rows
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
-  joined_heads fault_proxy endless_callers ended_processes endless_answers)
+  joined_heads fault_proxy endless_callers ended_processes endless_answers
+  crashing_requests)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -121,7 +122,8 @@
   endless_answers/a_server_that_writes_without_end_gets_less_requests
   endless_answers/a_refusal_that_does_not_end_holds_no_request
   endless_answers/control_calls_keep_no_answer_without_end
-  endless_answers/a_slow_caller_holds_a_fast_server)
+  endless_answers/a_slow_caller_holds_a_fast_server
+  crashing_requests/a_stream_that_crashes_after_an_event_is_refused)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
