Compare requests without a body

Callers saw: a lookup or booking without a body that crashes each server that runs it came again and again; each copy ended one more server.

Cause: requests without a body were left out of the comparison, since many ordinary ones are equal.

Change: they are compared like all others, by caller, method, path and body. What keeps ordinary ones from being refused is the evidence: a runner that refuses connections after it broke off, three such crashes 1 s apart (an outage that ends one runner after another leaves no time to be answered in between), no complete answer anywhere since, and no other request that was lost in the same crashes. A wrong block ends with the first trial.

--- a/rosemaryhook/direct_admission.cc
+++ b/rosemaryhook/direct_admission.cc
@@ -16,15 +16,6 @@
 
 constexpr Duration kNoServiceRetryAfter = std::chrono::seconds(1);
 
-std::string KeyOf(const DirectCall& call) {
-  // Requests without a body are often equal, so they are not compared.
-  if (call.request.body.empty()) {
-    return {};
-  }
-  return RequestKey(call.customer, call.request.method, call.request.target,
-                    call.request.body);
-}
-
 std::optional<DirectRefusal> FindCustomer(DirectCall* call) {
   const Deployment& deployment = *call->deployment;
   call->urgency = std::clamp(call->route->priority, 0, 9);
@@ -118,7 +109,8 @@
                              : daemon.settings.answer_limit;
   call->deadline =
       call->arrived + std::min(limit, call->headers.time_left.value_or(limit));
-  call->request_key = KeyOf(*call);
+  call->request_key = RequestKey(call->customer, call->request.method,
+                                 call->request.target, call->request.body);
   FindSharedPrompt(call);
   if (CheckBlockedParts(call)) {
     return MakeDirectRefusal(503, call->no_runner_reason,
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -53,9 +53,7 @@
   if (!call.attempt_has_begun) {
     parts = call.part_keys;
   }
-  if (!call.request_key.empty()) {
-    parts.push_back(call.request_key);
-  }
+  parts.push_back(call.request_key);
   return parts;
 }
 
@@ -192,8 +190,7 @@
       view == daemon.runners.end() || view->second.entry.is_leaving ||
       HasSaidLeaving(view->second) || view->second.removed_at != Time();
   const std::vector<std::string> parts = SuspectedParts(call);
-  if (!outcome.is_closed_by_peer || parts.empty() || call.is_blocked ||
-      is_leaving) {
+  if (!outcome.is_closed_by_peer || call.is_blocked || is_leaving) {
     return;
   }
   BrokenRunner& broken = daemon.broken_runners[call.attempt_incarnation];
--- a/rosemaryhook/prompt_suspects.cc
+++ b/rosemaryhook/prompt_suspects.cc
@@ -42,12 +42,15 @@
   return open;
 }
 
-// The times of crashes that are kSeparateCrashes apart.
+// The times of the crashes in `open` that are far enough apart to count.
 std::vector<Time> SeparateTimes(
+    const PartSuspect& suspect,
     const std::vector<std::pair<Time, std::string>>& open) {
+  const Duration separation =
+      suspect.is_request ? kSeparateRequestCrashes : kSeparateCrashes;
   std::vector<Time> times;
   for (const auto& [at, incarnation] : open) {
-    if (times.empty() || at - times.back() >= kSeparateCrashes) {
+    if (times.empty() || at - times.back() >= separation) {
       times.push_back(at);
     }
   }
@@ -72,11 +75,11 @@
   Candidate best;
   for (const auto& [part, suspect] : suspects.by_part) {
     if (done.contains(part) || suspect.crashes.size() < kCrashesToBlock ||
-        IsRequestKey(part) != are_requests) {
+        suspect.is_request != are_requests) {
       continue;
     }
     auto open = OpenCrashes(suspect, explained, now);
-    const std::vector<Time> times = SeparateTimes(open);
+    const std::vector<Time> times = SeparateTimes(suspect, open);
     if (times.size() < kCrashesToBlock || times.size() <= best.crashes) {
       continue;
     }
@@ -240,7 +243,9 @@
           return rank(a.second) < rank(b.second);
         }));
   }
-  return &parts[part];
+  PartSuspect& added = parts[part];
+  added.is_request = IsRequestKey(part);
+  return &added;
 }
 
 // Merges one crash. Returns false if the entry is malformed.
@@ -353,7 +358,8 @@
 }
 
 int SeparateCrashes(const PartSuspect& suspect, Time now) {
-  return static_cast<int>(SeparateTimes(OpenCrashes(suspect, {}, now)).size());
+  return static_cast<int>(
+      SeparateTimes(suspect, OpenCrashes(suspect, {}, now)).size());
 }
 
 std::vector<std::string> UpdateBlockedParts(Time now,
--- a/rosemaryhook/prompt_suspects.h
+++ b/rosemaryhook/prompt_suspects.h
@@ -42,6 +42,10 @@
 // power ends many runners at once, and no request does.
 constexpr Duration kSeparateCrashes = std::chrono::milliseconds(100);
 
+// The same for whole requests. An outage that ends one runner after another
+// leaves a request no time to be answered in between.
+constexpr Duration kSeparateRequestCrashes = std::chrono::seconds(1);
+
 // Time from the last of these crashes until the part is blocked. Hosts on which
 // answers to requests with the part begin clear it in that time.
 constexpr Duration kClearingPeriod = std::chrono::milliseconds(400);
@@ -54,9 +58,9 @@
 // caused may have blocked a sound part, and nothing else would clear it.
 constexpr Duration kTrialInterval = std::chrono::minutes(1);
 
-// The same for a whole request, which is known once it is blocked wrongly only
-// as far as it comes again. Each crash that follows multiplies the interval:
-// the platform allows three retries of a request that crashes runners.
+// The same for a whole request. Each crash that follows multiplies the
+// interval: the platform allows three retries of a request that crashes
+// runners.
 constexpr Duration kRequestTrialInterval = std::chrono::seconds(10);
 constexpr int kRequestTrialFactor = 6;
 
@@ -70,6 +74,7 @@
 };
 
 struct PartSuspect {
+  bool is_request = false;
   std::map<std::string, PartCrash> crashes;  // by runner incarnation
   Time tried;  // when this host last let a request with the part through
 };
--- a/rosemaryhook/testing/crashing_requests_process_test.cc
+++ b/rosemaryhook/testing/crashing_requests_process_test.cc
@@ -125,6 +125,18 @@
   }
 }
 
+// Guards against requests that are not compared since they have no body.
+BOOST_AUTO_TEST_CASE(a_crashing_request_without_a_body_is_refused) {
+  const std::vector<RequestKind> kinds{
+      {"lookup", 31300, "GET", "/look/", false, false, 0},
+      {"booking", 31400, "POST", "/book/", false, false, 0},
+      {"stream", 31500, "GET", "/chat/", true, false, 1},
+  };
+  for (const RequestKind& kind : kinds) {
+    CheckIsRefused(kind);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/rosemaryhook/testing/request_suspects_test.cc
@@ -0,0 +1,346 @@
+// Tests of prompt_suspects.h for whole requests.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "rosemaryhook/prompt_suspects.h"
+
+namespace rosemaryhook {
+namespace {
+
+using std::chrono::milliseconds;
+
+Time At(double seconds) {
+  return Time(std::chrono::seconds(1000)) +
+         Duration(static_cast<int64_t>(seconds * 1e6));
+}
+
+std::string Lookup(const std::string& path) {
+  return RequestKey("marsu", "GET", "/look/" + path, "");
+}
+
+std::string Runner(int i) {
+  return RunnerIncarnation("i-" + std::to_string(i), 7);
+}
+
+// Several hosts before several runners, in virtual time. Runners are killed at
+// random. Hosts tell each other by messages that are late or lost.
+struct Simulation {
+  static constexpr int kHosts = 4;
+  static constexpr int kRunners = 8;
+  static constexpr Duration kTick = milliseconds(10);
+  static constexpr Duration kDown = std::chrono::seconds(2);
+  static constexpr Duration kMessageInterval = milliseconds(100);
+  static constexpr int kTicksPerFullMessage = 100;
+  static constexpr double kMessageLoss = 0.1;
+  static constexpr double kMaxDelayMs = 150;
+
+  struct Host {
+    PromptSuspects suspects;
+    std::set<std::string> changed;
+  };
+  struct Message {
+    Time due;
+    int to = 0;
+    Json parts;
+  };
+  struct Running {
+    std::string request;
+    int host = 0;
+    int runner = 0;
+    Time end;
+    bool crashes = false;
+  };
+  struct Kind {
+    std::string path;  // empty: no two alike
+    double per_tick = 0;
+    double seconds = 0;
+  };
+
+  explicit Simulation(unsigned seed) : random(seed) {}
+
+  bool Happens(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random) < probability;
+  }
+  int Any(int count) { return static_cast<int>(random() % count); }
+
+  void Kill(int runner) {
+    if (now < up_at[runner]) {
+      return;
+    }
+    const std::string incarnation =
+        RunnerIncarnation("i-" + std::to_string(runner), Millis(now - At(0)));
+    up_at[runner] = now + kDown;
+    std::erase_if(running, [&](const Running& call) {
+      if (call.runner != runner) {
+        return false;
+      }
+      if (RecordPartCrash(call.request, incarnation, now,
+                          &hosts[call.host].suspects)) {
+        hosts[call.host].changed.insert(call.request);
+      }
+      return true;
+    });
+  }
+
+  // Returns false if the request is refused as one that crashes runners.
+  bool Send(const std::string& request, double seconds, bool crashes) {
+    const int host = Any(kHosts);
+    PromptSuspects& suspects = hosts[host].suspects;
+    const std::string blocked = BlockedPart(suspects, {request});
+    if (!blocked.empty() &&
+        (host != 0 || !TryBlockedPart(blocked, now, &suspects))) {
+      return false;
+    }
+    const int runner = Any(kRunners);
+    if (now >= up_at[runner]) {
+      const auto work = Duration(static_cast<int64_t>(seconds * 1e6));
+      running.push_back({request, host, runner, now + work, crashes});
+      if (crashes) {
+        arrivals.push_back(now);
+      }
+    }
+    return true;
+  }
+
+  void EndCalls() {
+    std::vector<int> crashed;
+    std::erase_if(running, [&](const Running& call) {
+      if (now < call.end) {
+        return false;
+      }
+      if (call.crashes) {
+        crashed.push_back(call.runner);
+        return false;
+      }
+      Host& host = hosts[call.host];
+      for (const auto& part :
+           RecordPartsBegun({call.request}, &host.suspects)) {
+        host.changed.insert(part);
+      }
+      return true;
+    });
+    for (const int runner : crashed) {
+      crash_times.push_back(now);
+      Kill(runner);
+    }
+  }
+
+  void Exchange(int tick) {
+    for (int from = 0; from < kHosts; ++from) {
+      Host& host = hosts[from];
+      std::set<std::string> parts = std::exchange(host.changed, {});
+      if (tick % kTicksPerFullMessage == 0) {
+        parts.merge(PartsToRepeat(host.suspects, now));
+      }
+      const Json json = PartsToJson(host.suspects, parts, now);
+      for (int to = 0; to < kHosts && !json.empty(); ++to) {
+        if (to != from && !Happens(kMessageLoss)) {
+          const auto delay = static_cast<int64_t>(
+              std::uniform_real_distribution<double>(5, kMaxDelayMs)(random));
+          messages.push_back({now + milliseconds(delay), to, json});
+        }
+      }
+    }
+  }
+
+  void Deliver() {
+    std::erase_if(messages, [&](const Message& message) {
+      if (now < message.due) {
+        return false;
+      }
+      std::set<std::string> unsent;
+      MergeParts(message.parts, now, &hosts[message.to].suspects, &unsent);
+      return true;
+    });
+    for (Host& host : hosts) {
+      UpdateBlockedParts(now, &host.suspects);
+    }
+  }
+
+  void Run(double seconds,
+           const std::vector<Kind>& kinds,
+           double kills_per_s,
+           int kills_at_a_time,
+           Duration crashing_interval) {
+    Time crashing_due =
+        crashing_interval > Duration::zero() ? At(5) : Time::max();
+    int kills_left = 0;
+    Time kill_due;
+    now = At(0);
+    for (int tick = 0; now < At(seconds); ++tick, now += kTick) {
+      for (const Kind& kind : kinds) {
+        if (Happens(kind.per_tick)) {
+          ++sent;
+          const std::string path =
+              kind.path.empty() ? std::to_string(sent) : kind.path;
+          refused += Send(Lookup(path), kind.seconds, false) ? 0 : 1;
+        }
+      }
+      if (now >= crashing_due) {
+        Send(Lookup("crashing"), 0.03, true);
+        crashing_due = now + crashing_interval;
+      }
+      EndCalls();
+      if (Happens(kills_per_s * 0.01)) {
+        kills_left += kills_at_a_time;
+      }
+      if (kills_left > 0 && now >= kill_due) {
+        --kills_left;
+        Kill(Any(kRunners));
+        kill_due = now + milliseconds(150);
+      }
+      if (tick % (kMessageInterval / kTick) == 0) {
+        Exchange(tick);
+      }
+      Deliver();
+    }
+  }
+
+  std::mt19937 random;
+  Time now;
+  std::vector<Host> hosts{kHosts};
+  std::vector<Time> up_at{kRunners};
+  std::vector<Message> messages;
+  std::vector<Running> running;
+  std::vector<Time> arrivals;     // of the crashing request
+  std::vector<Time> crash_times;  // by it
+  int sent = 0;                   // ordinary requests
+  int refused = 0;
+};
+
+const std::vector<Simulation::Kind> kOrdinary{{"popular", 0.2, 0.02},
+                                              {"stream", 0.03, 2},
+                                              {"rare", 0.01, 1},
+                                              {"", 0.1, 3}};
+
+BOOST_AUTO_TEST_SUITE(request_suspects)
+
+BOOST_AUTO_TEST_CASE(requests_are_equal_by_caller_method_path_and_body) {
+  const std::string key = RequestKey("marsu", "GET", "/look/1", "");
+  BOOST_TEST(IsRequestKey(key));
+  BOOST_TEST(key == RequestKey("marsu", "GET", "/look/1", ""));
+  BOOST_TEST(key != RequestKey("other", "GET", "/look/1", ""));
+  BOOST_TEST(key != RequestKey("marsu", "POST", "/look/1", ""));
+  BOOST_TEST(key != RequestKey("marsu", "GET", "/look/2", ""));
+  BOOST_TEST(key != RequestKey("marsu", "GET", "/look/1", "x"));
+  BOOST_TEST(!IsRequestKey(PartKey("chat", "aa")));
+}
+
+// Guards against popular requests that are refused since three runners were
+// killed one after another.
+BOOST_AUTO_TEST_CASE(kills_block_no_request_that_is_also_served) {
+  PromptSuspects suspects;
+  for (int i = 0; i < 20; ++i) {
+    RecordPartCrash(Lookup("popular"), Runner(i), At(i * 0.2), &suspects);
+    if (i % 3 == 2) {
+      RecordPartsBegun({Lookup("popular")}, &suspects);
+    }
+    UpdateBlockedParts(At(i * 0.2 + 0.1), &suspects);
+    BOOST_TEST(suspects.blocked.empty());
+  }
+}
+
+// Two requests that were lost in the same crashes: any of them may be the
+// cause, so neither is refused until a crash or an answer tells.
+BOOST_AUTO_TEST_CASE(requests_lost_in_the_same_crashes_are_told_apart) {
+  PromptSuspects suspects;
+  for (int i = 0; i < 3; ++i) {
+    RecordPartCrash(Lookup("popular"), Runner(i), At(i), &suspects);
+    RecordPartCrash(Lookup("crashing"), Runner(i), At(i), &suspects);
+  }
+  UpdateBlockedParts(At(3), &suspects);
+  BOOST_TEST(BlockedPart(suspects, {Lookup("popular")}).empty());
+  BOOST_TEST(BlockedPart(suspects, {Lookup("crashing")}).empty());
+  RecordPartsBegun({Lookup("popular")}, &suspects);
+  UpdateBlockedParts(At(3.1), &suspects);
+  BOOST_TEST(BlockedPart(suspects, {Lookup("popular")}).empty());
+  BOOST_TEST(!BlockedPart(suspects, {Lookup("crashing")}).empty());
+}
+
+// A request that crashes runners before its answer has begun, and its prompt.
+BOOST_AUTO_TEST_CASE(requests_and_parts_are_judged_apart) {
+  PromptSuspects suspects;
+  const std::string request = RequestKey("marsu", "POST", "/chat/1", "x");
+  for (int i = 0; i < 3; ++i) {
+    RecordPartCrash(request, Runner(i), At(i), &suspects);
+    RecordPartCrash("part", Runner(i), At(i), &suspects);
+  }
+  UpdateBlockedParts(At(3), &suspects);
+  BOOST_TEST(!BlockedPart(suspects, {"part", "own"}).empty());
+  BOOST_TEST(!BlockedPart(suspects, {request}).empty());
+  // The part is sound; the request ends runners later in its answer.
+  RecordPartsBegun({"part"}, &suspects);
+  UpdateBlockedParts(At(3.1), &suspects);
+  BOOST_TEST(BlockedPart(suspects, {"part", "own"}).empty());
+  BOOST_TEST(!BlockedPart(suspects, {"part", request}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_blocked_request_is_tried_less_often_the_more_it_crashes) {
+  PromptSuspects suspects;
+  const std::string request = Lookup("crashing");
+  for (int i = 0; i < 3; ++i) {
+    RecordPartCrash(request, Runner(i), At(i), &suspects);
+  }
+  std::vector<int> trials;
+  for (int second = 3; second < 400; ++second) {
+    if (TryBlockedPart(request, At(second), &suspects)) {
+      trials.push_back(second);
+      RecordPartCrash(request, Runner(second), At(second), &suspects);
+    }
+  }
+  BOOST_TEST((trials == std::vector<int>{12, 72}));
+}
+
+BOOST_AUTO_TEST_CASE(random_kills_hardly_ever_block_ordinary_requests) {
+  struct Case {
+    std::string what;
+    double kills_per_s;
+    int kills_at_a_time;
+  };
+  const std::vector<Case> cases{{"no kills", 0, 0},
+                                {"single kills", 0.3, 1},
+                                {"three in a row", 0.08, 3},
+                                {"all runners in a row", 0.03, 12}};
+  for (const Case& test : cases) {
+    int sent = 0;
+    int refused = 0;
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+      Simulation simulation(seed);
+      simulation.Run(90, kOrdinary, test.kills_per_s, test.kills_at_a_time,
+                     Duration::zero());
+      sent += simulation.sent;
+      refused += simulation.refused;
+    }
+    // Operators allow 5 and one in 500 that are denied.
+    BOOST_TEST(refused <= 5 + sent / 500,
+               test.what << ": " << refused << " of " << sent);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_crashing_request_reaches_runners_three_times_when_known) {
+  constexpr int kAllowedRetries = 3;
+  constexpr Duration kContactTime = std::chrono::seconds(3);
+  for (const double kills_per_s : {0.0, 0.3}) {
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+      Simulation simulation(seed);
+      simulation.Run(120, kOrdinary, kills_per_s, 1, milliseconds(500));
+      BOOST_REQUIRE(simulation.crash_times.size() >= 3U);
+      const Time known = simulation.crash_times[2] + kContactTime;
+      const auto late =
+          std::count_if(simulation.arrivals.begin(), simulation.arrivals.end(),
+                        [&](Time at) { return at > known; });
+      BOOST_TEST(late <= kAllowedRetries,
+                 late << " late arrivals, seed " << seed);
+      BOOST_TEST(simulation.refused <= 5 + simulation.sent / 500,
+                 simulation.refused << " of " << simulation.sent);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -5,10 +5,10 @@
   event_splitter fleet_state http_io idempotency joined_heads endless_bytes
   load_pacing list_trust membership peer_backlog peer_bounds peer_reads
   placement platform_codec rates prompt_suspects repeat_limits request_memory
-  retries routing runner_choice runner_ownership runner_ownership_leaving
-  send_pause send_rate settings statements store_era sheet silent_connections
-  stream_stalls suspects thundering_herd token_limits token_limits_restart
-  token_record named_limit)
+  retries routing runner_choice runner_ownership request_suspects
+  runner_ownership_leaving send_pause send_rate settings statements store_era
+  sheet silent_connections stream_stalls suspects thundering_herd token_limits
+  token_limits_restart token_record named_limit)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
@@ -123,7 +123,8 @@
   endless_answers/a_refusal_that_does_not_end_holds_no_request
   endless_answers/control_calls_keep_no_answer_without_end
   endless_answers/a_slow_caller_holds_a_fast_server
-  crashing_requests/a_stream_that_crashes_after_an_event_is_refused)
+  crashing_requests/a_stream_that_crashes_after_an_event_is_refused
+  crashing_requests/a_crashing_request_without_a_body_is_refused)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
