Count repeats from their decision

Operators saw more arrivals beyond the first of each request than the bound on repeats allows, at a deployment in which nothing of ours ended.

Cause: whether a request may be sent again was decided when its attempt ended, and the repeat was counted when it was sent. In between the request waits for a runner: for the loads of those asked, for a newer list, for a limit. A server that ends breaks off dozens of requests at one moment; each of them found the bound unused.

Change: a repeat that was allowed counts as pending until it is sent (then it counts in the window of the send) or given up (ScopedRepeat). A request that may not be sent again for this is logged (repeat_denied) and counted (rosemaryhook_repeats_denied_total).

Ruled out: refused arrivals are counted, as before, once a request may have reached a server.

--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -409,13 +409,22 @@
 // What to do after an attempt.
 enum class NextStep { kDone, kRetry, kFail };
 
+bool HasRepeatLeft(const DirectCall& call, Time now) {
+  DirectDaemon& daemon = *call.daemon;
+  if (MayRepeat(call.service->name, daemon.settings.repeats,
+                FleetQuorum(daemon, now).hosts, now, daemon.repeats)) {
+    return true;
+  }
+  Log("repeat_denied",
+      {{"id", call.headers.request_id}, {"service", call.service->name}});
+  daemon.metrics.Count("repeats_denied_total");
+  return false;
+}
+
 bool MayRetry(const DirectCall& call) {
   const Time now = Now();
   return !call.is_disconnected && now < call.deadline &&
-         now < call.daemon->sends_until &&
-         MayRepeat(call.service->name, call.daemon->settings.repeats,
-                   FleetQuorum(*call.daemon, now).hosts, now,
-                   call.daemon->repeats);
+         now < call.daemon->sends_until && HasRepeatLeft(call, now);
 }
 
 NextStep DecideNext(const DirectCall& call, const AttemptOutcome& outcome) {
@@ -514,13 +523,15 @@
   DirectDaemon& daemon = *call.daemon;
   const ScopedRunningCall running(&call);
   AttemptOutcome outcome;
+  std::optional<ScopedRepeat> repeat;
   while (true) {
     const std::string runner = co_await PickRunner(call);
     if (runner.empty()) {
+      repeat.reset();
       co_return co_await FailCall(call, std::move(outcome));
     }
-    if (call.sends > 0) {
-      RecordRepeat(call.service->name, Now(), &daemon.repeats);
+    if (repeat) {
+      repeat->RecordSend(Now());
     }
     outcome = co_await AttemptCall(call, runner);
     if (outcome.end != AttemptEnd::kAnswered) {
@@ -536,6 +547,10 @@
         co_return LogRequestEnd(call, "served", 200,
                                 call.sends > 1 ? "again" : "");
       case NextStep::kRetry:
+        repeat.reset();
+        if (call.sends > 0) {
+          repeat.emplace(call.service->name, &daemon.repeats);
+        }
         continue;
       case NextStep::kFail:
         co_return co_await FailCall(call, std::move(outcome));
--- a/rosemaryhook/repeat_limits.cc
+++ b/rosemaryhook/repeat_limits.cc
@@ -3,6 +3,7 @@
 #include "rosemaryhook/repeat_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemaryhook {
 namespace {
@@ -47,6 +48,7 @@
   int first_sends = 0;
   int repeats = 0;
   if (found != limits.services.end()) {
+    repeats = found->second.pending;
     const int64_t window_slots = std::min<int64_t>(bounds.window / kSlotLength,
                                                    RepeatWindow::kSlots - 1);
     const int64_t newest = SlotNumber(now);
@@ -65,4 +67,20 @@
   return repeats + 1 <= allowed;
 }
 
+ScopedRepeat::ScopedRepeat(const std::string& service, RepeatLimits* limits)
+    : window_(&limits->services[service]) {
+  ++window_->pending;
+}
+
+ScopedRepeat::~ScopedRepeat() {
+  window_->pending -= is_pending_ ? 1 : 0;
+}
+
+void ScopedRepeat::RecordSend(Time now) {
+  if (std::exchange(is_pending_, false)) {
+    --window_->pending;
+    ++SlotAt(now, window_).repeats;
+  }
+}
+
 }  // namespace rosemaryhook
--- a/rosemaryhook/repeat_limits.h
+++ b/rosemaryhook/repeat_limits.h
@@ -2,13 +2,16 @@
 //
 //   RecordFirstSend("chat", now, &limits);
 //   if (MayRepeat("chat", bounds, hosts, now, limits)) {
-//     RecordRepeat("chat", now, &limits);
+//     ScopedRepeat repeat("chat", &limits);
+//     ... wait for a backend server ...
+//     repeat.RecordSend(Now());
 //
 // Load pattern: many backend servers fail or refuse requests at once, and every
 // host sends them again (a retry storm). All hosts share one bound on repeats
 // within any window. Each keeps to a part of it that it can compute without
 // messages: its own requests earn repeats, and the fixed reserve is divided
-// equally.
+// equally. Requests that break off together decide together, long before they
+// are sent again: a repeat that was allowed counts from then on.
 //
 // Cost: O(1). Memory: kSlots counts for each service.
 #ifndef ROSEMARYHOOK_REPEAT_LIMITS_H_
@@ -38,6 +41,7 @@
     int repeats = 0;
   };
   std::array<Slot, kSlots> slots;
+  int pending = 0;  // repeats that were allowed and are not sent yet
 };
 
 struct RepeatLimits {
@@ -55,6 +59,22 @@
                Time now,
                const RepeatLimits& limits);
 
+// A repeat that was allowed, until it is sent or given up.
+class ScopedRepeat {
+ public:
+  ScopedRepeat(const std::string& service, RepeatLimits* limits);
+  ~ScopedRepeat();
+  ScopedRepeat(const ScopedRepeat&) = delete;
+  ScopedRepeat& operator=(const ScopedRepeat&) = delete;
+
+  // Records the send, the first time that it is called.
+  void RecordSend(Time now);
+
+ private:
+  RepeatWindow* window_;
+  bool is_pending_ = true;
+};
+
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_REPEAT_LIMITS_H_
--- a/rosemaryhook/testing/repeat_limits_test.cc
+++ b/rosemaryhook/testing/repeat_limits_test.cc
@@ -1,6 +1,7 @@
 #include "rosemaryhook/repeat_limits.h"
 
 #include <boost/test/unit_test.hpp>
+#include <list>
 #include <random>
 
 namespace rosemaryhook {
@@ -78,6 +79,36 @@
   BOOST_TEST(MayRepeat("chat", bounds, 1, At(11), limits));
 }
 
+// Guards against requests that break off together and are all allowed to be
+// sent again, since none of them has been sent yet.
+BOOST_AUTO_TEST_CASE(a_repeat_counts_from_its_decision) {
+  const RepeatBounds bounds{0, 10, std::chrono::seconds(10)};
+  RepeatLimits limits;
+  const auto may_repeat = [&](double time) {
+    return MayRepeat("chat", bounds, 1, At(time), limits);
+  };
+  std::list<ScopedRepeat> repeats;
+  while (may_repeat(0)) {
+    repeats.emplace_back("chat", &limits);
+  }
+  BOOST_TEST(repeats.size() == 7U);
+  // Those that wait count for as long as they wait.
+  BOOST_TEST(!may_repeat(60));
+  // One that is given up makes room for another.
+  repeats.pop_back();
+  BOOST_TEST(may_repeat(60));
+  repeats.emplace_back("chat", &limits);
+  BOOST_TEST(!may_repeat(60));
+  // Those that are sent count in the window of the send, once.
+  for (ScopedRepeat& repeat : repeats) {
+    repeat.RecordSend(At(60));
+    repeat.RecordSend(At(61));
+  }
+  repeats.clear();
+  BOOST_TEST(!may_repeat(69));
+  BOOST_TEST(may_repeat(71));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -28,7 +28,7 @@
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
-  crashing_requests)
+  crashing_requests retry_storm)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -124,7 +124,8 @@
   endless_answers/control_calls_keep_no_answer_without_end
   endless_answers/a_slow_caller_holds_a_fast_server
   crashing_requests/a_stream_that_crashes_after_an_event_is_refused
-  crashing_requests/a_crashing_request_without_a_body_is_refused)
+  crashing_requests/a_crashing_request_without_a_body_is_refused
+  retry_storm/requests_that_break_off_at_once_share_the_bound)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
