Keep the reserve of repeats within the bound over all hosts

Causes, two of one kind: a host took more of the reserve than its part. A host that restarts has forgotten what it sent again, and used its part of the same window once more. A host that had not heard of others for 20 s divided the reserve by fewer hosts, so that the sides of a cut used up to all of it each.

Change: a host whose address is in the store already when it starts uses no reserve for one window (one more read of the hosts at the start; the log line "joined" says restart=1); a host that has not read the list of hosts uses none. The reserve is divided by all hosts known. Requests earn repeats as before. A host that has ended for good keeps its part, which costs repeats.

Tried and dropped: no reserve after any start. A new fleet then has none for its first ten seconds.

--- a/rosemaryhook/direct_daemon.cc
+++ b/rosemaryhook/direct_daemon.cc
@@ -86,6 +86,12 @@
   return quorum;
 }
 
+int RepeatSharers(const DirectDaemon& daemon, Time now) {
+  const bool is_listed = daemon.host_addresses.contains(daemon.settings.peers);
+  const size_t known = daemon.host_addresses.size() + (is_listed ? 0 : 1);
+  return std::max(FleetQuorum(daemon, now).hosts, static_cast<int>(known));
+}
+
 awaitable<void> AwaitRunnerChange(DirectDaemon& daemon, Time deadline) {
   Signal changed(daemon.io.get_executor());
   const auto position =
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -174,7 +174,7 @@
   Signal broadcast_signal;  // wakes the broadcast loop
 
   TokenLimits tokens;
-  RepeatLimits repeats;
+  RepeatLimits repeats{{}, Time::max()};  // no reserve before has_joined
 
   // Requests and parts of prompts that crash runners (direct_suspects.h).
   PromptSuspects prompt_suspects;
@@ -219,6 +219,10 @@
 // of all hosts that may be running.
 Quorum FleetQuorum(const DirectDaemon& daemon, Time now);
 
+// The number of hosts that may send requests again, also those that this one
+// does not see.
+int RepeatSharers(const DirectDaemon& daemon, Time now);
+
 // Waits until a runner changes, at most until `deadline`.
 awaitable<void> AwaitRunnerChange(DirectDaemon& daemon, Time deadline);
 void NotifyRunnerChange(DirectDaemon* daemon);
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -412,7 +412,7 @@
 bool HasRepeatLeft(const DirectCall& call, Time now) {
   DirectDaemon& daemon = *call.daemon;
   if (MayRepeat(call.service->name, daemon.settings.repeats,
-                FleetQuorum(daemon, now).hosts, now, daemon.repeats)) {
+                RepeatSharers(daemon, now), now, daemon.repeats)) {
     return true;
   }
   Log("repeat_denied",
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -6,6 +6,7 @@
 #include "rosemaryhook/direct_store.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "rosemaryhook/direct_broadcast.h"
@@ -328,14 +329,28 @@
   }
 }
 
+bool HasKey(const StoreRows& rows, const std::string& key) {
+  return std::any_of(rows.rows.begin(), rows.rows.end(),
+                     [&](const StoreRow& row) { return row.key == key; });
+}
+
 // Registers this host's address in the store for hosts that start later, and
 // reads the addresses of those registered before.
 awaitable<void> RegisterHost(DirectDaemonPtr daemon) {
   const Json value{{"zone", daemon->settings.zone}};
   Duration pause = kMinRetryDelay;
+  std::optional<bool> was_registered;  // by a process before this one
   bool is_written = false;
   while (!daemon->is_stopping) {
-    if (!is_written) {
+    if (!was_registered) {
+      auto rows =
+          co_await ReadRows(daemon->store, kHostTable, Now() + kStoreTimeout);
+      if (Failure(rows) == nullptr) {
+        was_registered =
+            HasKey(std::get<StoreRows>(rows), daemon->settings.peers);
+      }
+    }
+    if (was_registered && !is_written) {
       auto written =
           co_await WriteRow(daemon->store, kHostTable, daemon->settings.peers,
                             value.dump(), Now() + kStoreTimeout);
@@ -348,7 +363,11 @@
         daemon->host_addresses.insert(row.key);
       }
       daemon->has_joined = true;
-      Log("joined", {{"hosts", daemon->host_addresses.size()}});
+      daemon->repeats.reserve_from =
+          *was_registered ? ReserveStart(daemon->settings.repeats, Now())
+                          : Now();
+      Log("joined", {{"hosts", daemon->host_addresses.size()},
+                     {"restart", *was_registered ? 1 : 0}});
       co_return;
     }
     co_await Sleep(pause);
--- a/rosemaryhook/repeat_limits.cc
+++ b/rosemaryhook/repeat_limits.cc
@@ -29,6 +29,10 @@
 
 }  // namespace
 
+Time ReserveStart(const RepeatBounds& bounds, Time now) {
+  return now + bounds.window;
+}
+
 void RecordFirstSend(const std::string& service,
                      Time now,
                      RepeatLimits* limits) {
@@ -61,9 +65,9 @@
       }
     }
   }
-  const double allowed =
-      kUsableFraction *
-      (bounds.share * first_sends + bounds.reserve / std::max(hosts, 1));
+  const double reserve = now < limits.reserve_from ? 0 : bounds.reserve;
+  const double allowed = kUsableFraction * (bounds.share * first_sends +
+                                            reserve / std::max(hosts, 1));
   return repeats + 1 <= allowed;
 }
 
--- a/rosemaryhook/repeat_limits.h
+++ b/rosemaryhook/repeat_limits.h
@@ -46,8 +46,13 @@
 
 struct RepeatLimits {
   std::map<std::string, RepeatWindow> services;
+  Time reserve_from;  // the reserve is not used before
 };
 
+// The reserve_from of a host that starts again, and knows the other hosts from
+// `now` on. The process before it may have used its part of the reserve.
+Time ReserveStart(const RepeatBounds& bounds, Time now);
+
 void RecordFirstSend(const std::string& service,
                      Time now,
                      RepeatLimits* limits);
--- a/rosemaryhook/testing/direct_state_test.cc
+++ b/rosemaryhook/testing/direct_state_test.cc
@@ -295,6 +295,25 @@
   BOOST_TEST(FleetQuorum(daemon, At(30)).hosts == 7);
 }
 
+// Guards against hosts that forget those behind a cut, and use their part of
+// the bound on repeats as well.
+BOOST_AUTO_TEST_CASE(hosts_that_are_not_seen_keep_their_part_of_the_repeats) {
+  daemon.has_joined = true;
+  for (int i = 0; i < 7; ++i) {
+    PeerMessage message = From("peer" + std::to_string(i), 1);
+    message.address = "10.0.0." + std::to_string(i + 2) + ":7600";
+    ApplyPeerMessage(message, At(1), &daemon);
+  }
+  for (const int second : {1, 5, 30, 300}) {
+    for (int i = 0; i < 3; ++i) {
+      PeerMessage message = From("peer" + std::to_string(i), 1 + second);
+      message.address = "10.0.0." + std::to_string(i + 2) + ":7600";
+      ApplyPeerMessage(message, At(second), &daemon);
+    }
+    BOOST_TEST(RepeatSharers(daemon, At(second)) == 8);
+  }
+}
+
 ListUpdate Update(int64_t from, int64_t to, std::vector<StoreRow> rows) {
   return {"servers", from, to, std::move(rows), {}};
 }
--- a/rosemaryhook/testing/repeat_limits_test.cc
+++ b/rosemaryhook/testing/repeat_limits_test.cc
@@ -79,6 +79,50 @@
   BOOST_TEST(MayRepeat("chat", bounds, 1, At(11), limits));
 }
 
+// Guards against hosts that restart, forget what they have sent again, and use
+// the reserve of the same window once more.
+BOOST_AUTO_TEST_CASE(restarts_do_not_renew_the_reserve) {
+  struct Case {
+    std::string what;
+    double interval;  // seconds between restarts
+    size_t hosts;     // that restart at a time
+  };
+  const std::vector<Case> cases{{"one host after another", 1.3, 1},
+                                {"half of them", 7, 4},
+                                {"all at once", 8, 8},
+                                {"all again and again", 3, 8}};
+  const RepeatBounds bounds{0.2, 56, std::chrono::seconds(10)};
+  for (const Case& test : cases) {
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::vector<RepeatLimits> hosts(8);
+    SendLog log;
+    double restart = test.interval;
+    size_t next = 0;
+    for (int tick = 0; tick < 6000; ++tick) {
+      const double now = tick * 0.01;
+      if (now >= restart) {
+        restart += test.interval;
+        for (size_t i = 0; i < test.hosts; ++i) {
+          hosts[next++ % hosts.size()] = {{}, ReserveStart(bounds, At(now))};
+        }
+      }
+      for (RepeatLimits& host : hosts) {
+        if (draw(random) < 0.01) {
+          RecordFirstSend("chat", At(now), &host);
+          log.first_sends.push_back(now);
+        }
+        if (MayRepeat("chat", bounds, 8, At(now), host)) {
+          RecordRepeat("chat", At(now), &host);
+          log.repeats.push_back(now);
+        }
+      }
+    }
+    BOOST_TEST(log.Holds(bounds), test.what);
+    BOOST_TEST(log.repeats.size() > 10U, test.what);
+  }
+}
+
 // Guards against requests that break off together and are all allowed to be
 // sent again, since none of them has been sent yet.
 BOOST_AUTO_TEST_CASE(a_repeat_counts_from_its_decision) {
--- a/rosemaryhook/testing/retry_storm_process_test.cc
+++ b/rosemaryhook/testing/retry_storm_process_test.cc
@@ -48,6 +48,19 @@
   BOOST_TEST(first > kCalls / 2);
   BOOST_TEST(repeats <= kRepeatShare * kCalls + kRepeatReserve,
              repeats << " repeats of " << first << " requests");
+  // The reserve of this window is used up also if a host forgets it.
+  const auto has_joined = [&](const std::string& restart) {
+    return Await(10, [&] {
+      const std::string log = site.LogOf(0);
+      const size_t at = log.rfind("event=joined");
+      return at != std::string::npos &&
+             log.find("restart=" + restart, at) != std::string::npos;
+    });
+  };
+  BOOST_TEST(has_joined("0"));
+  site.Kill(site.host(0));
+  site.Start(site.host(0));
+  BOOST_TEST(has_joined("1"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
