--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -28,7 +28,7 @@
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
-  crashing_requests retry_storm)
+  crashing_requests retry_storm repeat_rules)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -125,7 +125,9 @@
   endless_answers/a_slow_caller_holds_a_fast_server
   crashing_requests/a_stream_that_crashes_after_an_event_is_refused
   crashing_requests/a_crashing_request_without_a_body_is_refused
-  retry_storm/requests_that_break_off_at_once_share_the_bound)
+  retry_storm/requests_that_break_off_at_once_share_the_bound
+  repeat_rules/one_request_runs_on_no_more_servers_than_its_route_allows
+  repeat_rules/each_send_carries_the_time_that_is_left)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
