End the pieces of a long head within a field in its test

The parser consumes only whole fields that it can tell are complete, so that a piece that ended at a field's end was still in the buffer with its name. Each piece now ends one byte into the next field, as strict as before. The servers and the request of the process tests are made in one place.

--- a/rosemaryhook/testing/endless_answers_process_test.cc
+++ b/rosemaryhook/testing/endless_answers_process_test.cc
@@ -107,6 +107,26 @@
   return answer;
 }
 
+std::string SlowRequest(const std::string& route) {
+  std::string request = "POST " + route + " HTTP/1.1\r\nHost: a.example\r\n";
+  request +=
+      "Authorization: Bearer key-marsu\r\nX-Deadline-Ms: 4000\r\n"
+      "X-Model: base/a1\r\nX-Token-Usage: 10,5\r\nContent-Length: 0\r\n";
+  request += "X-Attempt-Id: slow" + route + "\r\n\r\n";
+  return request;
+}
+
+using Servers = std::vector<std::unique_ptr<ScriptedServer>>;
+
+// Two of each service.
+Servers StartServers(const Site& site, const ScriptedServer::Handler& handler) {
+  Servers servers(4);
+  for (int i = 0; i < 4; ++i) {
+    servers[i] = std::make_unique<ScriptedServer>(site.Backend(i), handler);
+  }
+  return servers;
+}
+
 void AddServers(Site* site) {
   for (int i = 0; i < 4; ++i) {
     Json entry = ServerEntry(i < 2 ? "booking" : "chat", site->Backend(i));
@@ -146,11 +166,7 @@
     const std::scoped_lock lock(mutex);
     return EndlessAnswer(request, form, is_in_chunks);
   };
-  std::vector<std::unique_ptr<ScriptedServer>> servers;
-  for (int i = 0; i < 4; ++i) {
-    servers.push_back(
-        std::make_unique<ScriptedServer>(site.Backend(i), handler));
-  }
+  const auto servers = StartServers(site, handler);
   AddServers(&site);
   std::atomic<bool> is_over = false;
   auto others = Async([&] {
@@ -337,11 +353,7 @@
     answer.endless = Repeated(" ");
     return answer;
   };
-  std::vector<std::unique_ptr<ScriptedServer>> servers;
-  for (int i = 0; i < 4; ++i) {
-    servers.push_back(
-        std::make_unique<ScriptedServer>(site.Backend(i), handler));
-  }
+  const auto servers = StartServers(site, handler);
   AddServers(&site);
   const Time end = Now() + std::chrono::seconds(6);
   for (int i = 0; Now() < end; ++i) {
@@ -380,11 +392,7 @@
     answer.endless_written = &written;
     return answer;
   };
-  std::vector<std::unique_ptr<ScriptedServer>> servers;
-  for (int i = 0; i < 4; ++i) {
-    servers.push_back(
-        std::make_unique<ScriptedServer>(site.Backend(i), handler));
-  }
+  const auto servers = StartServers(site, handler);
   AddServers(&site);
   const size_t colon = site.Callers(0).rfind(':');
   const tcp::endpoint endpoint{
@@ -397,15 +405,7 @@
     caller.open(tcp::v4());
     caller.set_option(asio::socket_base::receive_buffer_size(64 << 10));
     caller.connect(endpoint);
-    asio::write(caller, asio::buffer("POST " + route +
-                                     " HTTP/1.1\r\nHost: a.example\r\n"
-                                     "Authorization: Bearer key-marsu\r\n"
-                                     "X-Deadline-Ms: 4000\r\n"
-                                     "X-Attempt-Id: slow" +
-                                     route +
-                                     "\r\nX-Model: base/a1\r\n"
-                                     "X-Token-Usage: 10,5\r\n"
-                                     "Content-Length: 0\r\n\r\n"));
+    asio::write(caller, asio::buffer(SlowRequest(route)));
     BOOST_TEST(Await(5, [&] { return written > 0; }), route);
     std::this_thread::sleep_for(std::chrono::seconds(2));
     BOOST_TEST(written < kMaxWritten, route << ": " << written);
--- a/rosemaryhook/testing/endless_bytes_test.cc
+++ b/rosemaryhook/testing/endless_bytes_test.cc
@@ -160,7 +160,11 @@
   std::string bytes = kChunked;
   for (size_t at = 0; at < body.size(); at += size) {
     const std::string data = body.substr(at, size);
-    bytes += Hex(data.size()) + extension + "\r\n" + data + "\r\n";
+    bytes += Hex(data.size());
+    bytes += extension;
+    bytes += "\r\n";
+    bytes += data;
+    bytes += "\r\n";
   }
   return bytes + "0" + extension + "\r\n" + trailer + "\r\n";
 }
@@ -250,14 +254,15 @@
 // read before.
 BOOST_AUTO_TEST_CASE(a_head_of_too_many_fields_is_given_up) {
   EndlessServer server;
-  // Each is read before the next one is written.
-  std::vector<std::string> pieces{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"};
+  // Each is read before the next one is written, and ends one byte into a
+  // field: the parser consumes the fields before it.
+  std::vector<std::string> pieces{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX"};
   size_t bytes = pieces.front().size();
   while (bytes < 2 * kMaxHeadBytes) {
-    pieces.push_back("X-A: " + std::string(200, 'a') + "\r\n");
+    pieces.push_back("-A: " + std::string(200, 'a') + "\r\nX");
     bytes += pieces.back().size();
   }
-  pieces.emplace_back("\r\n");
+  pieces.emplace_back("-A: a\r\n\r\n");
   server.Answer({std::move(pieces), "", 0});
   BOOST_TEST((Failure(FetchOnce(server)) != nullptr));
   server.AwaitWritten();
