Log what ends a coroutine by an exception, and start loops again

Operators saw: nothing. An exception that leaves a detached coroutine is dropped by Asio; the loop that it ended was missing for the life of the host: orders to a backend server, a list, datagrams, broadcasts, accepted connections.

Ruled out: that such an exception ends the process; it never does here, since nothing rethrows it. What a handler of a request throws is caught before.

Change: loops are started by StartLoop, which logs task_failed and runs them again after 0.25 s; what runs once by StartTask, which logs. Orders to one runner end its entry in `owned`, so that the next read of the owners starts them with an empty plan.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -9,6 +9,7 @@
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/task.h"
 
 namespace rosemaryhook {
 namespace {
@@ -445,10 +446,11 @@
 }  // namespace
 
 void StartBroadcast(const DirectDaemonPtr& daemon) {
-  asio::co_spawn(daemon->io,
-                 BroadcastLoop(daemon, std::make_shared<LastSent>()),
-                 asio::detached);
-  asio::co_spawn(daemon->io, ReportLoadsLoop(daemon), asio::detached);
+  const auto executor = daemon->io.get_executor();
+  StartLoop(executor, "broadcast", [=] {
+    return BroadcastLoop(daemon, std::make_shared<LastSent>());
+  });
+  StartLoop(executor, "report_loads", [=] { return ReportLoadsLoop(daemon); });
 }
 
 void SendPeerMessage(const std::string& address,
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -18,6 +18,7 @@
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/peer_reads.h"
 #include "rosemaryhook/table.h"
+#include "rosemaryhook/task.h"
 
 namespace rosemaryhook {
 namespace {
@@ -294,9 +295,10 @@
   StartPeerLoops(daemon);
   StartTokenRecord(daemon);
   StartBlockingParts(daemon);
-  asio::co_spawn(daemon->io, Serve(servers->callers), asio::detached);
-  asio::co_spawn(daemon->io, Serve(servers->readiness), asio::detached);
-  asio::co_spawn(daemon->io, Serve(servers->operators), asio::detached);
+  const auto executor = daemon->io.get_executor();
+  StartLoop(executor, "callers", [=] { return Serve(servers->callers); });
+  StartLoop(executor, "readiness", [=] { return Serve(servers->readiness); });
+  StartLoop(executor, "operators", [=] { return Serve(servers->operators); });
 }
 
 }  // namespace
@@ -311,8 +313,10 @@
   InitDaemon(settings, file, servers->daemon.get());
   asio::co_spawn(io, Start(servers), asio::detached);
   asio::co_spawn(io, AwaitStop(servers), asio::detached);
-  asio::co_spawn(io, ReloadOnSignal(servers), asio::detached);
-  asio::co_spawn(io, ReloadOnChange(servers), asio::detached);
+  StartLoop(io.get_executor(), "reload_on_signal",
+            [=] { return ReloadOnSignal(servers); });
+  StartLoop(io.get_executor(), "reload_on_change",
+            [=] { return ReloadOnChange(servers); });
   io.run();
   FlushLog();
   return servers->exit_code;
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -10,6 +10,7 @@
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/task.h"
 
 namespace rosemaryhook {
 namespace {
@@ -242,9 +243,9 @@
   }
 }
 
-awaitable<void> RunOwnedRunner(DirectDaemonPtr daemon,
-                               std::string runner,
-                               OwnedPtr owned) {
+awaitable<void> GiveOrders(DirectDaemonPtr daemon,
+                           std::string runner,
+                           OwnedPtr owned) {
   while (!daemon->is_stopping && !owned->is_ended &&
          IsOwn(daemon->ownership, runner)) {
     const RunnerView* view = FindRunnerView(*daemon, runner);
@@ -274,6 +275,19 @@
     co_await ExecuteStep(daemon, runner, owned, *step);
     PublishHeldAdapters(runner, owned.get(), daemon.get());
   }
+}
+
+// A runner whose orders failed is started anew, with an empty plan, after the
+// next read of the owners.
+awaitable<void> RunOwnedRunner(DirectDaemonPtr daemon,
+                               std::string runner,
+                               OwnedPtr owned) {
+  try {
+    co_await GiveOrders(daemon, runner, owned);
+  } catch (const std::exception& e) {
+    Log("task_failed",
+        {{"task", "orders"}, {"runner", runner}, {"why", e.what()}});
+  }
   if (const auto found = daemon->owned.find(runner);
       found != daemon->owned.end() && found->second == owned) {
     daemon->owned.erase(found);
@@ -352,8 +366,8 @@
       owned->plan.adapters[adapter] = {SlotPhase::kHeld, version, Now()};
     }
     daemon->owned[runner] = owned;
-    asio::co_spawn(daemon->io, RunOwnedRunner(daemon, runner, owned),
-                   asio::detached);
+    StartTask(daemon->io.get_executor(), "orders",
+              RunOwnedRunner(daemon, runner, owned));
   }
 }
 
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -12,6 +12,7 @@
 #include "rosemaryhook/direct_store.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/task.h"
 
 namespace rosemaryhook {
 namespace {
@@ -160,8 +161,9 @@
 }
 
 void StartPeerLoops(const DirectDaemonPtr& daemon) {
-  asio::co_spawn(daemon->io, ReceiveLoop(daemon), asio::detached);
-  asio::co_spawn(daemon->io, ExpireLoop(daemon), asio::detached);
+  const auto executor = daemon->io.get_executor();
+  StartLoop(executor, "receive", [=] { return ReceiveLoop(daemon); });
+  StartLoop(executor, "expire", [=] { return ExpireLoop(daemon); });
   StartBroadcast(daemon);
 }
 
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -17,6 +17,7 @@
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/peer_reads.h"
+#include "rosemaryhook/task.h"
 
 namespace rosemaryhook {
 namespace {
@@ -378,7 +379,8 @@
 awaitable<void> PollOwners(DirectDaemonPtr daemon, PolledTable polled) {
   while (!daemon->is_stopping) {
     if (std::exchange(daemon->must_register, false)) {
-      asio::co_spawn(daemon->io, RegisterHost(daemon), asio::detached);
+      StartLoop(daemon->io.get_executor(), "register",
+                [=] { return RegisterHost(daemon); });
     }
     if (ShouldReadStore(*daemon, daemon->owner_contact, Now())) {
       co_await ReadOnce(daemon, polled);
@@ -460,10 +462,10 @@
   runners.apply = [state](const StoreRows& rows, ReadScope scope, Time) {
     ApplyRunnerRows(rows, scope, state);
   };
-  asio::co_spawn(daemon->io, PollTable(daemon, std::move(operators)),
-                 asio::detached);
-  asio::co_spawn(daemon->io, PollTable(daemon, std::move(runners)),
-                 asio::detached);
+  const auto executor = daemon->io.get_executor();
+  StartLoop(executor, "operators",
+            [=] { return PollTable(daemon, operators); });
+  StartLoop(executor, "runners", [=] { return PollTable(daemon, runners); });
   PolledTable owners{kOwnerTable,
                      "owners",
                      Duration::zero(),
@@ -474,9 +476,8 @@
                          Time request_time) {
     ApplyOwnerRows(rows, scope, request_time, state);
   };
-  asio::co_spawn(daemon->io, PollOwners(daemon, std::move(owners)),
-                 asio::detached);
-  asio::co_spawn(daemon->io, RegisterHost(daemon), asio::detached);
+  StartLoop(executor, "owners", [=] { return PollOwners(daemon, owners); });
+  StartLoop(executor, "register", [=] { return RegisterHost(daemon); });
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -9,6 +9,7 @@
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/task.h"
 
 namespace rosemaryhook {
 namespace {
@@ -260,7 +261,8 @@
 }
 
 void StartBlockingParts(const DirectDaemonPtr& daemon) {
-  asio::co_spawn(daemon->io, BlockPartsLoop(daemon), asio::detached);
+  StartLoop(daemon->io.get_executor(), "block_parts",
+            [=] { return BlockPartsLoop(daemon); });
 }
 
 ScopedRunningCall::ScopedRunningCall(DirectCall* call) : call_(call) {
--- a/rosemaryhook/direct_tokens.cc
+++ b/rosemaryhook/direct_tokens.cc
@@ -5,6 +5,7 @@
 
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/task.h"
 #include "rosemaryhook/token_record.h"
 
 namespace rosemaryhook {
@@ -104,8 +105,9 @@
 }  // namespace
 
 void StartTokenRecord(const DirectDaemonPtr& daemon) {
-  asio::co_spawn(daemon->io, RestoreAtStart(daemon), asio::detached);
-  asio::co_spawn(daemon->io, MaintainRecord(daemon), asio::detached);
+  const auto executor = daemon->io.get_executor();
+  StartLoop(executor, "restore_tokens", [=] { return RestoreAtStart(daemon); });
+  StartLoop(executor, "record_tokens", [=] { return MaintainRecord(daemon); });
 }
 
 }  // namespace rosemaryhook
