Clear requests by short answers that end with their connection

A sound request that was refused after crashes of its servers stayed refused if its server ends each answer with the connection: such an answer cleared nothing, so neither did the trial.

Cause: an answer without length or chunks was taken as one that may be cut. That is so for a stream, whose runner may have ended between two events.

Change: a short answer that is not a stream clears the request however it ends. A request that ends its server only after the whole of such an answer is not recognized.

--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -539,7 +539,9 @@
     } else if (call.sends > 1) {
       LogAttempt(call, outcome, runner);
     }
-    if (outcome.end == AttemptEnd::kAnswered && !outcome.ends_with_connection) {
+    // A stream that ends with its connection may be that of a crashed runner.
+    const bool may_be_cut = outcome.ends_with_connection && call.head_sent;
+    if (outcome.end == AttemptEnd::kAnswered && !may_be_cut) {
       RecordAnswerEnd(call);
     }
     switch (DecideNext(call, outcome)) {
--- a/rosemaryhook/testing/crashing_requests_process_test.cc
+++ b/rosemaryhook/testing/crashing_requests_process_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
+#include "rosemaryhook/testing/scripted_server.h"
 #include "rosemaryhook/testing/site.h"
 
 namespace rosemaryhook::testing {
@@ -137,6 +138,40 @@
   }
 }
 
+// Guards against sound requests that stay refused since their server ends each
+// answer with its connection.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_ends_the_refusal) {
+  constexpr int kMaxCrashes = 12;
+  constexpr std::chrono::milliseconds kInterval(1200);
+  constexpr int kTrialS = 30;
+  const RequestKind kind{"unframed", 31900, "GET", "/look/"};
+  Site site({.port = kind.port, .hosts = 1, .runners = 0, .services = 3});
+  int next = 0;
+  const auto status = [&] {
+    return Ask(site, kind, 0, std::to_string(++next), "bad").status;
+  };
+  BOOST_TEST(Await(5, [&] { return status() == 200; }));
+  site.Fault({{"crashing_request", "bad"}});
+  for (int i = 0; i < kMaxCrashes && status() != 503; ++i) {
+    std::this_thread::sleep_for(kInterval);
+  }
+  BOOST_TEST(status() == 503);
+  site.Fault({{"crashing_request", ""}});
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  ScriptedServer server(site.Backend(9), [](const ScriptedRequest& request) {
+    const std::string id(request["X-Attempt-Id"]);
+    return ScriptedServer::Answer{
+        "HTTP/1.1 200 OK\r\n" + IdHeaders(id) + "\r\nok", false, true};
+  });
+  for (int i = 0; i < 3; ++i) {
+    site.Unset("servers", "i-" + std::to_string(i));
+  }
+  site.Set("servers", "i-9", ServerEntry("booking", site.Backend(9)));
+  // One request is let through as a trial, and its answer ends the refusal.
+  BOOST_TEST(Await(kTrialS, [&] { return status() == 200; }));
+  BOOST_TEST(status() == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -125,6 +125,7 @@
   endless_answers/a_slow_caller_holds_a_fast_server
   crashing_requests/a_stream_that_crashes_after_an_event_is_refused
   crashing_requests/a_crashing_request_without_a_body_is_refused
+  crashing_requests/an_answer_without_a_length_ends_the_refusal
   retry_storm/requests_that_break_off_at_once_share_the_bound
   repeat_rules/one_request_runs_on_no_more_servers_than_its_route_allows
   repeat_rules/each_send_carries_the_time_that_is_left)
