--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -31,7 +31,7 @@
   double shared_tokens = 0;   // number of tokens in those parts
   // Keys of the prompt parts that other requests may share.
   std::vector<std::string> part_keys;
-  std::string request_key;  // equal for equal requests
+  std::string request_key;           // equal for equal requests
   bool is_disconnected = false;      // the caller closed its connection
   HttpExchange* exchange = nullptr;  // of the attempt in progress
 
