Test starts with an odd store, few descriptors and an unread log

Guards: ways in which a process could end or not start that were ruled out, each with real processes.

- The log's pipe is full, loses its reader, or standard output is closed from the start: 400 of 400 requests are served in each of the four runs.
- 64 descriptors and 100 idle callers: the host keeps running, uses less than 0.4 s of processor time in 2 s, and serves again once the callers have left.
- The store is away, refuses, or gives one of twelve odd answers, among them bytes that are no answer, a body of 200,000 brackets and a length beyond 64 bits: the host keeps running and is ready once the store is there.

--- a/rosemaryhook/testing/ended_processes_process_test.cc
+++ b/rosemaryhook/testing/ended_processes_process_test.cc
@@ -1,5 +1,6 @@
 // Tests of what may end a daemon or keep it from its start, with real processes
 // and a fake platform.
+#include <fcntl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -9,9 +10,11 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "rosemaryhook/http.h"
+#include "rosemaryhook/testing/scripted_server.h"
 #include "rosemaryhook/testing/site.h"
 
 namespace rosemaryhook::testing {
@@ -155,6 +158,24 @@
 
 constexpr int kStartLimitS = 15;
 
+// A host that only waits uses far less in 2 s.
+constexpr int64_t kMaxIdleTicks = 40;
+
+// User and system time of a process, in ticks of 10 ms.
+int64_t CpuTicks(const Process& process) {
+  const std::string stat =
+      ReadAll("/proc/" + std::to_string(process.pid) + "/stat");
+  std::stringstream fields(stat.substr(stat.rfind(')') + 1));
+  std::string field;
+  for (int i = 0; i < 11; ++i) {
+    fields >> field;
+  }
+  int64_t user = 0;
+  int64_t system = 0;
+  fields >> user >> system;
+  return user + system;
+}
+
 BOOST_AUTO_TEST_SUITE(ended_processes)
 
 // Guards against orders that are no longer given to a backend server after one
@@ -286,6 +307,112 @@
   BOOST_TEST(WaitFor(std::exchange(daemon.process().pid, 0)) == 0);
 }
 
+// Guards against a host that its log ends or holds up: nobody reads it, its
+// reader ends, or there is none from the start.
+BOOST_AUTO_TEST_CASE(no_reader_of_the_log_holds_a_host_up) {
+  const Site site({.port = 30500, .hosts = 0});
+  const auto serve = [](const LoneDaemon& daemon) {
+    int served = 0;
+    for (int i = 0; i < 400; ++i) {
+      served += Exchange(daemon.Address(30), "POST", "/look/1",
+                         {{"Host", "a.example"},
+                          {"Authorization", "Bearer key-marsu"},
+                          {"X-Deadline-Ms", "4000"},
+                          {"X-Attempt-Id", "look-" + std::to_string(i)}})
+                    .status == 200;
+    }
+    return served;
+  };
+  {
+    LoneDaemon daemon(30500);
+    daemon.WriteSettings();
+    const std::string pipe = daemon.file() + ".pipe";
+    BOOST_REQUIRE(mkfifo(pipe.c_str(), 0600) == 0);
+    const int reader = open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+    // The smallest pipe, which few lines fill.
+    fcntl(reader, F_SETPIPE_SZ, 4096);
+    daemon.StartAfter("exec >" + pipe + "; ");
+    BOOST_TEST(daemon.AwaitReady(kStartLimitS), "unread");
+    BOOST_TEST(serve(daemon) == 400, "unread");
+    close(reader);
+    BOOST_TEST(serve(daemon) == 400, "without its reader");
+    BOOST_TEST(IsRunning(daemon.process()));
+  }
+  for (const char* closed : {"exec >&-; ", "exec <&- >&- 2>&-; "}) {
+    LoneDaemon daemon(30500);
+    daemon.WriteSettings();
+    daemon.StartAfter(closed);
+    BOOST_TEST(daemon.AwaitReady(kStartLimitS), closed);
+    BOOST_TEST(serve(daemon) == 400, closed);
+    BOOST_TEST(IsRunning(daemon.process()), closed);
+  }
+}
+
+// Guards against a host that ends, or no longer serves, once callers have used
+// up its file descriptors.
+BOOST_AUTO_TEST_CASE(a_host_outlives_a_lack_of_descriptors) {
+  const Site site({.port = 30600, .hosts = 0});
+  LoneDaemon daemon(30600);
+  daemon.WriteSettings();
+  daemon.StartAfter("ulimit -n 64; ");
+  BOOST_REQUIRE(daemon.AwaitReady(kStartLimitS));
+  {
+    asio::io_context io;
+    std::vector<tcp::socket> idle;
+    for (int i = 0; i < 100; ++i) {
+      idle.emplace_back(io).connect(
+          std::get<tcp::endpoint>(ParseAddress(daemon.Address(30))));
+    }
+    const int64_t before = CpuTicks(daemon.process());
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    BOOST_TEST(CpuTicks(daemon.process()) - before < kMaxIdleTicks);
+    BOOST_TEST(IsRunning(daemon.process()));
+  }
+  BOOST_TEST(daemon.AwaitReady(kStartLimitS));
+  BOOST_TEST(Await(kStartLimitS, [&] {
+    return Exchange(daemon.Address(30), "POST", "/look/1",
+                    {{"Host", "a.example"},
+                     {"Authorization", "Bearer key-marsu"},
+                     {"X-Deadline-Ms", "4000"},
+                     {"X-Attempt-Id", "after"}})
+               .status == 200;
+  }));
+}
+
+// Guards against a host that ends, or never becomes ready, because the store
+// was away or answered oddly at its start.
+BOOST_AUTO_TEST_CASE(no_answer_of_the_store_at_the_start_ends_a_host) {
+  LoneDaemon daemon(30700);
+  daemon.WriteSettings();
+  daemon.Start();
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  BOOST_TEST(IsRunning(daemon.process()), "no store");
+  const std::vector<std::string> answers{
+      MakeAnswer("503 Unavailable", "", ""),
+      MakeAnswer("429 Too Many", "Retry-After: 1e300\r\n", "{}"),
+      MakeAnswer("200 OK", "", ""),
+      MakeAnswer("200 OK", "Store-Era: 99999999999999999999\r\n", "[]"),
+      MakeAnswer("200 OK", "Store-Era: -1\r\n", "{\"rows\":{}}"),
+      MakeAnswer("200 OK", "", "{\"rows\":[null,1,{}],\"ver\":-1}"),
+      MakeAnswer("200 OK", "", std::string(200'000, '[')),
+      MakeAnswer("412 Failed", "", "\xff"),
+      MakeAnswer("410 Gone", "", "gone"),
+      MakeAnswer("204 No Content", "", ""),
+      "\x01\x02\x03 no answer\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\n",
+  };
+  for (const std::string& answer : answers) {
+    const ScriptedServer store(daemon.Address(0), [&](const ScriptedRequest&) {
+      return ScriptedServer::Answer{answer};
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    BOOST_TEST(IsRunning(daemon.process()), answer.substr(0, 80));
+  }
+  const Site site({.port = 30700, .hosts = 0});
+  BOOST_TEST(daemon.AwaitReady(kStartLimitS));
+  BOOST_TEST(IsRunning(daemon.process()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -128,7 +128,10 @@
   crashing_requests/an_answer_without_a_length_ends_the_refusal
   retry_storm/requests_that_break_off_at_once_share_the_bound
   repeat_rules/one_request_runs_on_no_more_servers_than_its_route_allows
-  repeat_rules/each_send_carries_the_time_that_is_left)
+  repeat_rules/each_send_carries_the_time_that_is_left
+  ended_processes/no_reader_of_the_log_holds_a_host_up
+  ended_processes/a_host_outlives_a_lack_of_descriptors
+  ended_processes/no_answer_of_the_store_at_the_start_ends_a_host)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
