--- a/rosemaryhook/testing/request_suspects_test.cc
+++ b/rosemaryhook/testing/request_suspects_test.cc
@@ -1,6 +1,7 @@
 // Tests of prompt_suspects.h for whole requests.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <ctime>
 #include <random>
 
 #include "rosemaryhook/prompt_suspects.h"
@@ -293,6 +294,79 @@
   BOOST_TEST((trials == std::vector<int>{12, 72}));
 }
 
+// Guards against hosts that are busy for long when runners end that ran many
+// requests.
+BOOST_AUTO_TEST_CASE(requests_lost_when_memory_is_full_cost_little) {
+  constexpr auto kMaxCpu = milliseconds(50);
+  constexpr size_t kExtra = 600;
+  PromptSuspects suspects;
+  for (size_t i = 0; i < kMaxSuspectParts; ++i) {
+    RecordPartCrash(Lookup(std::to_string(i)), Runner(1), At(1), &suspects);
+  }
+  const std::clock_t start = std::clock();
+  for (size_t i = 0; i < kExtra; ++i) {
+    RecordPartCrash(Lookup("extra" + std::to_string(i)), Runner(2), At(2),
+                    &suspects);
+  }
+  const auto cpu = milliseconds((std::clock() - start) * 1000 / CLOCKS_PER_SEC);
+  BOOST_TEST((cpu <= kMaxCpu), cpu.count() << " ms");
+  BOOST_TEST(suspects.by_part.size() <= kMaxSuspectParts);
+  BOOST_TEST(suspects.by_part.contains(Lookup("extra0")));
+}
+
+// Guards against parts of prompts that are forgotten since many requests were
+// lost, and the reverse.
+BOOST_AUTO_TEST_CASE(a_flood_of_one_kind_leaves_the_other_kind) {
+  for (const bool are_requests : {true, false}) {
+    const auto key = [](bool is_request, int i) {
+      const std::string path = std::to_string(i);
+      return is_request ? Lookup(path) : PartKey("chat", path);
+    };
+    PromptSuspects suspects;
+    for (int i = 0; i < 50; ++i) {
+      RecordPartCrash(key(!are_requests, i), Runner(1), At(1), &suspects);
+    }
+    for (size_t i = 0; i < 2 * kMaxSuspectParts; ++i) {
+      RecordPartCrash(key(are_requests, static_cast<int>(i)), Runner(2), At(2),
+                      &suspects);
+    }
+    int kept = 0;
+    for (int i = 0; i < 50; ++i) {
+      kept += suspects.by_part.contains(key(!are_requests, i)) ? 1 : 0;
+    }
+    BOOST_TEST(kept == 50);
+    BOOST_TEST(suspects.by_part.size() <= 2 * kMaxSuspectParts);
+  }
+}
+
+// What was lost again, or is not cleared, stays when memory is full, also if it
+// was learned from other hosts or got there in another order.
+BOOST_AUTO_TEST_CASE(a_flood_of_requests_leaves_those_lost_twice) {
+  PromptSuspects suspects;
+  for (int i = 0; i < 50; ++i) {
+    RecordPartCrash(Lookup(std::to_string(i)), Runner(1), At(1), &suspects);
+    RecordPartCrash(Lookup(std::to_string(i)), Runner(2), At(3), &suspects);
+  }
+  RecordPartCrash(Lookup("cleared"), Runner(1), At(1), &suspects);
+  RecordPartCrash(Lookup("cleared"), Runner(2), At(3), &suspects);
+  RecordPartsBegun({Lookup("cleared")}, &suspects);
+  PromptSuspects other;
+  RecordPartCrash(Lookup("told"), Runner(1), At(1), &other);
+  RecordPartCrash(Lookup("told"), Runner(2), At(3), &other);
+  std::set<std::string> unsent;
+  MergeParts(PartsToJson(other, {Lookup("told")}, At(3)), At(3), &suspects,
+             &unsent);
+  for (size_t i = 0; i < kMaxSuspectParts; ++i) {
+    RecordPartCrash(Lookup("flood" + std::to_string(i)), Runner(3), At(4),
+                    &suspects);
+  }
+  for (int i = 0; i < 50; ++i) {
+    BOOST_TEST(suspects.by_part.contains(Lookup(std::to_string(i))));
+  }
+  BOOST_TEST(suspects.by_part.contains(Lookup("told")));
+  BOOST_TEST(!suspects.by_part.contains(Lookup("cleared")));
+}
+
 BOOST_AUTO_TEST_CASE(random_kills_hardly_ever_block_ordinary_requests) {
   struct Case {
     std::string what;
