Bound the number of fields in an answer's head

The bound on the head counts its bytes only.

Heads of more than 256 fields are given up as excessive.

--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -22,6 +22,10 @@
 constexpr size_t kChunkBytes = 16 << 10;
 constexpr size_t kHeadReadBytes = 4 << 10;
 
+// A field takes some 150 bytes besides its text, so that a head of many short
+// ones takes much more memory than its length.
+constexpr std::ptrdiff_t kMaxHeadFields = 256;
+
 // A request body up to this size fits into the socket's buffer, so sending it
 // does not wait for the peer to read.
 constexpr size_t kMaxInlineBodyBytes = 8 << 10;
@@ -296,7 +300,11 @@
   HttpHead head;
   head.status = static_cast<int>(parser_->get().result_int());
   has_joined_head_ = ContainsStatusLine(parser_->get().reason());
-  for (const auto& field : parser_->get()) {
+  const auto& fields = parser_->get();
+  if (std::distance(fields.begin(), fields.end()) > kMaxHeadFields) {
+    co_return MakeExcessError("too many fields in the head");
+  }
+  for (const auto& field : fields) {
     head.headers.emplace_back(field.name_string(), field.value());
     has_joined_head_ |= ContainsStatusLine(field.value());
   }
--- a/rosemaryhook/testing/endless_bytes_test.cc
+++ b/rosemaryhook/testing/endless_bytes_test.cc
@@ -268,6 +268,21 @@
   server.AwaitWritten();
 }
 
+// Guards against a head that takes forty times its length once it is parsed.
+BOOST_AUTO_TEST_CASE(a_head_of_many_short_fields_is_given_up) {
+  for (const int fields : {200, 3000}) {
+    EndlessServer server;
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    for (int i = 0; i < fields; ++i) {
+      head += "a:\r\n";
+    }
+    server.Answer({{head + "\r\n"}, "", 0});
+    BOOST_TEST((Failure(FetchOnce(server)) != nullptr) == (fields > 200),
+               fields << " fields");
+    server.AwaitWritten();
+  }
+}
+
 struct HonestAnswer {
   std::string name;
   std::string bytes;
