--- a/rosemaryhook/testing/endless_answers_process_test.cc
+++ b/rosemaryhook/testing/endless_answers_process_test.cc
@@ -2,6 +2,7 @@
 // whose address space is limited, a fake platform, and servers in this process.
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <thread>
 
 #include "rosemaryhook/testing/run_ledger.h"
@@ -366,6 +367,79 @@
   BOOST_TEST(PeakMemoryMb(host) < kPeakMb, PeakMemoryMb(host) << " MB");
 }
 
+// Guards against the end of a process by what the store writes, or something in
+// its place.
+BOOST_AUTO_TEST_CASE(a_store_that_writes_without_end_ends_no_host) {
+  Site site({.port = 28500,
+             .hosts = 0,
+             .runners = 0,
+             .services = 0,
+             .is_proxied = true,
+             .address_space_mb = kAddressSpaceMb});
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string nested(3 << 20, '[');
+  const std::vector<EndlessForm> forms{
+      {"a chunk extension", chunked + "5;", "a"},
+      {"a trailer line", chunked + "0\r\nX-A: ", "a"},
+      {"chunks", chunked, "1000\r\n" + std::string(4096, ' ') + "\r\n"},
+      {"interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"a body", "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[", "{},"},
+      {"nested values", MakeAnswer("200 OK", "", nested), ""},
+  };
+  std::mutex mutex;
+  std::optional<EndlessForm> form;
+  int faulty = 0;
+  ScriptedServer store(site.StoreProxy(0), [&](const auto& request) {
+    ScriptedServer::Answer answer;
+    {
+      const std::scoped_lock lock(mutex);
+      if (form) {
+        ++faulty;
+        answer.bytes = form->begin;
+        answer.endless = form->unit.empty() ? "" : Repeated(form->unit);
+        return answer;
+      }
+    }
+    const Reply reply =
+        Exchange(site.Store(), std::string(request.method_string()),
+                 std::string(request.target()), {}, request.body());
+    answer.bytes =
+        MakeAnswer(std::to_string(reply.status) + " Any", "", reply.body);
+    return answer;
+  });
+  ScriptedServer server(site.Backend(0), [](const auto& request) {
+    return ScriptedServer::Answer{WholeAnswer(request)};
+  });
+  site.Set("servers", "i-sound", ServerEntry("booking", site.Backend(0)));
+  site.AddHosts(1);
+  const pid_t host = site.host(0).pid;
+  for (const EndlessForm& next : forms) {
+    {
+      const std::scoped_lock lock(mutex);
+      form = next;
+      faulty = 0;
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    {
+      const std::scoped_lock lock(mutex);
+      BOOST_TEST(faulty > 0, next.name);
+      form.reset();
+    }
+    int booked = 0;
+    BOOST_TEST(Await(10,
+                     [&] {
+                       const std::string id =
+                           next.name.substr(0, 5) + std::to_string(++booked);
+                       return site.Book(0, id).status == 200;
+                     }),
+               next.name);
+    BOOST_REQUIRE(IsRunning(host));
+    BOOST_TEST(PeakMemoryMb(host) < kPeakMb,
+               next.name << ": " << PeakMemoryMb(host) << " MB");
+  }
+}
+
 // Guards against a process that keeps what a server has written and its caller
 // has not read.
 BOOST_AUTO_TEST_CASE(a_slow_caller_holds_a_fast_server) {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -131,7 +131,8 @@
   repeat_rules/each_send_carries_the_time_that_is_left
   ended_processes/no_reader_of_the_log_holds_a_host_up
   ended_processes/a_host_outlives_a_lack_of_descriptors
-  ended_processes/no_answer_of_the_store_at_the_start_ends_a_host)
+  ended_processes/no_answer_of_the_store_at_the_start_ends_a_host
+  endless_answers/a_store_that_writes_without_end_ends_no_host)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
