Count a read for another host until its answer is sent

A host reads the store for at most 16 others at a time, but a read counted only until the store had answered. The answer, of up to 3.4 MB, is held until the other host has taken it or write_timeout passes: a cut between hosts left any number of them. Found by reading; not reproduced. An exception in the read left the count too high for good.

--- a/rosemaryhook/peer_reads.cc
+++ b/rosemaryhook/peer_reads.cc
@@ -16,6 +16,20 @@
 // response of the store has at most kMaxStoreAnswerBytes.
 constexpr int kMaxPeerReads = 16;
 
+// Counts a read until its answer is sent: the answer is held until then.
+class ScopedPeerRead {
+ public:
+  explicit ScopedPeerRead(DirectDaemon* daemon) : daemon_(daemon) {
+    ++daemon_->peer_reads;
+  }
+  ~ScopedPeerRead() { --daemon_->peer_reads; }
+  ScopedPeerRead(const ScopedPeerRead&) = delete;
+  ScopedPeerRead& operator=(const ScopedPeerRead&) = delete;
+
+ private:
+  DirectDaemon* daemon_;
+};
+
 }  // namespace
 
 std::string ChooseReadPeer(const std::string& self,
@@ -61,10 +75,9 @@
   call.method = "GET";
   call.target = request.target;
   call.deadline = Now() + kForwardedReadTimeout;
-  ++daemon->peer_reads;
+  const ScopedPeerRead read(daemon.get());
   auto fetched =
       co_await Fetch(&daemon->pool, std::move(call), kMaxStoreAnswerBytes);
-  --daemon->peer_reads;
   daemon->metrics.Count("peer_reads_total");
   if (const Error* error = Failure(fetched)) {
     // Changes that are too long for one answer are read as a whole table.
