Count the heads of callers' requests, and bound their fields

A head is held until its request ends, with 128 bytes for each field, and one of more than 256 fields is refused with 431. The new cases were not run on the code before.

--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -120,12 +120,19 @@
   RequestHold(const RequestHold&) = delete;
   RequestHold& operator=(const RequestHold&) = delete;
 
-  // Sets what the request holds. Wakes the readers of requests that are refused
-  // for it, so that their memory is free at once.
+  // Sets what the parsed head takes, until the request ends.
+  void SetHead(size_t bytes) {
+    head_bytes_ = bytes;
+    Set(0);
+  }
+
+  // Sets what the request holds besides its head. Wakes the readers of requests
+  // that are refused for it, so that their memory is free at once.
   void Set(size_t bytes) const {
     RequestMemory& memory = requests_->memory;
     const size_t held = memory.held;
-    const std::vector<int64_t> refused = HoldBytes(id_, bytes, Now(), &memory);
+    const std::vector<int64_t> refused =
+        HoldBytes(id_, head_bytes_ + bytes, Now(), &memory);
     for (const int64_t id : refused) {
       requests_->reads[id]->cancel();
     }
@@ -147,6 +154,7 @@
  private:
   std::shared_ptr<HttpRequests> requests_;
   int64_t id_;
+  size_t head_bytes_ = 0;
 };
 
 ReadFailure MemoryFailure() {
@@ -186,6 +194,15 @@
 
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
 
+// A parsed field takes memory besides its text, so that a head of many short
+// ones takes much more than its length.
+constexpr size_t kMaxFields = 256;
+constexpr size_t kFieldBytes = 128;
+
+size_t CountLines(std::string_view header) {
+  return static_cast<size_t>(std::count(header.begin(), header.end(), '\n'));
+}
+
 bool HasName(std::string_view line, std::string_view name) {
   return line.size() > name.size() && line[name.size()] == ':' &&
          beast::iequals({line.data(), name.size()}, {name.data(), name.size()});
@@ -254,7 +271,7 @@
 }
 
 awaitable<beast::error_code> ReadHeader(const HttpLimits& limits,
-                                        const RequestHold& hold,
+                                        RequestHold& hold,
                                         beast::tcp_stream* stream,
                                         beast::flat_buffer* buffer,
                                         Parser* parser) {
@@ -268,9 +285,18 @@
       if (end + kHeaderEnd.size() > limits.header_bytes) {
         co_return http::error::header_limit;
       }
-      if (!IsUnambiguous(seen.substr(0, end + kHeaderEnd.size()))) {
+      const std::string_view header = seen.substr(0, end + kHeaderEnd.size());
+      if (!IsUnambiguous(header)) {
         co_return http::error::bad_field;
       }
+      const size_t lines = CountLines(header);
+      if (lines > kMaxFields) {
+        co_return http::error::header_limit;
+      }
+      hold.SetHead(header.size() + lines * kFieldBytes);
+      if (hold.is_refused()) {
+        co_return asio::error::operation_aborted;
+      }
       break;
     }
     if (seen.size() >= limits.header_bytes) {
@@ -350,7 +376,7 @@
 // Reads one request. The header must arrive within header_timeout of its first
 // byte, and the body within the same time after the header.
 awaitable<ReadOutcome> ReadRequest(const HttpLimits& limits,
-                                   const RequestHold& hold,
+                                   RequestHold& hold,
                                    beast::tcp_stream* stream,
                                    beast::flat_buffer* buffer,
                                    Parser* parser) {
--- a/rosemaryhook/testing/endless_requests_test.cc
+++ b/rosemaryhook/testing/endless_requests_test.cc
@@ -169,7 +169,8 @@
   for (const std::string& begin :
        {head + "Content-Length: 50000\r\n\r\n" + filler,
         std::string(kChunkedHead) + "ffff\r\n" + filler,
-        head + "x-a: " + filler}) {
+        head + "x-a: " + filler,
+        head + "x-a: " + filler + "\r\nContent-Length: 50000\r\n\r\n"}) {
     EchoServer server(limits, kLimit);
     asio::io_context io;
     std::vector<tcp::socket> sockets;
@@ -204,6 +205,23 @@
   }
 }
 
+// Guards against a head that takes forty times its length once it is parsed.
+BOOST_AUTO_TEST_CASE(a_head_of_many_short_fields_is_refused) {
+  HttpLimits limits = SmallLimits();
+  limits.header_bytes = 32 << 10;
+  EchoServer server(limits, 1 << 20);
+  for (const int fields : {200, 3000}) {
+    std::string request = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+    for (int i = 0; i < fields; ++i) {
+      request += "a:\r\n";
+    }
+    const std::string answer = server.Send(request + "\r\n");
+    BOOST_TEST(
+        answer.starts_with(fields > 200 ? "HTTP/1.1 431" : "HTTP/1.1 200"),
+        fields << ": " << answer.substr(0, 60));
+  }
+}
+
 // Guards against a bound that refuses what honest callers send: each request is
 // cut at each of its bytes, and then sent byte by byte and pipelined.
 BOOST_AUTO_TEST_CASE(honest_requests_pass_in_any_parts) {
