--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -17,8 +17,9 @@
 // it are refused or done within header_timeout, most of them much sooner.
 constexpr char kMemoryRetryAfterSeconds[] = "1";
 
-// What is read of a head at a time, so that idle connections hold little.
-constexpr size_t kHeadPieceBytes = 4 << 10;
+// What is read at a time of a head, and at first of a body, so that connections
+// on which little arrives hold little.
+constexpr size_t kMinPieceBytes = 4 << 10;
 
 // Bytes that are read at a time, at least; a chunk's size with its extensions,
 // and a trailer, must fit into it.
@@ -260,7 +261,7 @@
   server->idle.insert(stream);
   stream->expires_after(server->limits.idle_timeout);
   auto [ec, n] = co_await stream->async_read_some(
-      buffer->prepare(std::min(server->limits.header_bytes, kHeadPieceBytes)),
+      buffer->prepare(std::min(server->limits.header_bytes, kMinPieceBytes)),
       kToTuple);
   stream->expires_never();
   server->idle.erase(stream);
@@ -304,7 +305,7 @@
     }
     auto [ec, n] = co_await stream->async_read_some(
         buffer->prepare(
-            std::min(limits.header_bytes - seen.size(), kHeadPieceBytes)),
+            std::min(limits.header_bytes - seen.size(), kMinPieceBytes)),
         kToTuple);
     if (ec) {
       co_return timer.Outcome(
@@ -312,7 +313,7 @@
                                  : ec);
     }
     buffer->commit(n);
-    hold.Set(buffer->size());
+    hold.Set(buffer->capacity());
     if (hold.is_refused()) {
       co_return asio::error::operation_aborted;
     }
@@ -352,15 +353,17 @@
   parser->eager(true);
   while (!parser->is_done()) {
     const ReadOutcome failure = ParseBody(buffer, parser, &framing);
-    hold.Set(buffer->size() + framing.data_bytes);
+    hold.Set(buffer->capacity() + parser->get().body().capacity());
     if (hold.is_refused()) {
       co_return MemoryFailure();
     }
     if (failure || parser->is_done()) {
       co_return failure;
     }
-    auto [ec, n] = co_await stream->async_read_some(
-        buffer->prepare(buffer->max_size() - buffer->size()), kToTuple);
+    const size_t piece = std::min(std::max(framing.data_bytes, kMinPieceBytes),
+                                  buffer->max_size() - buffer->size());
+    auto [ec, n] =
+        co_await stream->async_read_some(buffer->prepare(piece), kToTuple);
     if (hold.is_refused()) {
       co_return MemoryFailure();
     }
