Refuse codings whose body has no certain end

A request with Transfer-Encoding identity, gzip, "chunked, identity" or an empty value was taken for one without a body, and what followed for a request of its own, which ran: a request in the body of another one. HTTP/1.0 with Transfer-Encoding was read as chunks.

IsUnambiguous counted the header but not its value; the parser takes a last coding other than "chunked" for no body. Now "chunked" alone is accepted, in HTTP/1.1 only; everything else gets 400 and the connection closes. Codings before "chunked" are refused too: nothing here decodes them.

--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -217,15 +217,30 @@
   });
 }
 
+// Whether "chunked" is the only coding in the Transfer-Encoding header `line`.
+// With any other last coding the length of a body cannot be known, and this
+// server decodes no others.
+bool IsChunkedOnly(std::string_view line) {
+  std::string_view value = line.substr(line.find(':') + 1);
+  const size_t begin = value.find_first_not_of(" \t");
+  if (begin == std::string_view::npos) {
+    return false;
+  }
+  value = value.substr(begin, value.find_last_not_of(" \t") + 1 - begin);
+  return beast::iequals({value.data(), value.size()}, "chunked");
+}
+
 // Whether a header section has a single interpretation. Folded lines, a second
-// Content-Length or Host, and a Content-Length together with Transfer-Encoding
-// let two parsers disagree on where a request ends (RFC 9112, 5.2 and 6.3).
+// Content-Length or Host, a Content-Length together with Transfer-Encoding,
+// Transfer-Encoding in HTTP/1.0, and codings other than "chunked" let two
+// parsers disagree on where a request ends (RFC 9112, 5.2, 6.1 and 6.3).
 // `header` includes the request line.
 bool IsUnambiguous(std::string_view header) {
   int lengths = 0;
   int encodings = 0;
   int hosts = 0;
   size_t begin = header.find("\r\n") + 2;
+  const bool is_old = !header.substr(0, begin - 2).ends_with("HTTP/1.1");
   while (begin < header.size()) {
     const size_t end = header.find("\r\n", begin);
     const std::string_view line = header.substr(begin, end - begin);
@@ -244,7 +259,12 @@
         return false;
       }
     }
-    encodings += HasName(line, "Transfer-Encoding") ? 1 : 0;
+    if (HasName(line, "Transfer-Encoding")) {
+      ++encodings;
+      if (is_old || !IsChunkedOnly(line)) {
+        return false;
+      }
+    }
     hosts += HasName(line, "Host") ? 1 : 0;
   }
   return lengths + encodings <= 1 && hosts <= 1;
