Start with figures of the platform that are out of range

Operators saw: a process that does not start, on a site whose settings have a figure that no site had before.

Ruled out: that the checks were needed for safety alone; the nearest value in range is as safe, and the log tells of it.

Evidence: 17 of 17 rows of settings/unusual_figures_of_the_platform_keep_no_ host_from_its_start were refused before; all pass now. The cases of errors that were there are unchanged and pass: what is no number is still an error, also nan, and so are unknown fields and our own limits.

Change: a field that the platform fills in takes any finite number, is put to the nearest in range, and logged as setting_adjusted; without a value it has its default. A window longer than ours is counted over our longest, so a budget per window is then somewhat too generous.

--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -220,6 +220,12 @@
   servers->daemon->io.stop();
 }
 
+void LogAdjusted(const Settings& settings) {
+  for (const std::string& setting : settings.adjusted) {
+    Log("setting_adjusted", {{"setting", setting}});
+  }
+}
+
 // Reloads the settings file if it has changed. The addresses to listen on stay
 // until a restart; everything else takes effect.
 void Reload(DirectServers* servers, const char* why) {
@@ -242,6 +248,7 @@
   daemon->ownership.lease = settings.order_lease;
   daemon->settings = std::move(settings);
   servers->settings_text = std::move(text);
+  LogAdjusted(daemon->settings);
   Log("reload", {{"why", why}});
 }
 
@@ -286,6 +293,7 @@
     daemon->io.stop();
     co_return;
   }
+  LogAdjusted(daemon->settings);
   Log("start", {{"session", daemon->session},
                 {"zone", daemon->settings.zone},
                 {"callers", daemon->settings.callers},
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -5,8 +5,12 @@
 #include <fmt/core.h>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <functional>
+#include <optional>
 #include <sstream>
 #include <vector>
 
@@ -29,6 +33,7 @@
   std::string expected;
   bool required;
   Setter set;
+  bool may_be_empty = false;  // then it has its default
 };
 
 Setter SetName(std::string Settings::*member) {
@@ -67,17 +72,41 @@
   };
 }
 
-Setter SetNumber(double RepeatBounds::*member, double low, double high) {
-  return [=](const std::string& text, Settings* settings) {
-    try {
-      size_t end = 0;
-      const double value = std::stod(text, &end);
-      settings->repeats.*member = value;
-      return end == text.size() && value >= low && value <= high;
-    } catch (const std::exception&) {
+std::optional<double> ParseFinite(const std::string& text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// Sets a figure that the platform fills in. A host that does not start for its
+// sake would serve nobody, so the nearest value in range is used.
+template <typename Set>
+Field PlatformField(const char* name,
+                    const char* expected,
+                    double low,
+                    double high,
+                    Set set) {
+  const auto set_nearest = [=](const std::string& text, Settings* settings) {
+    const std::optional<double> value = ParseFinite(text);
+    if (!value) {
       return false;
     }
+    const double nearest = std::clamp(*value, low, high);
+    if (nearest != *value) {
+      settings->adjusted.push_back(fmt::format("{}={}", name, nearest));
+    }
+    set(nearest, settings);
+    return true;
   };
+  return {name, expected, false, set_nearest, true};
+}
+
+Duration MillisOf(double value) {
+  return std::chrono::milliseconds(static_cast<int64_t>(value));
 }
 
 Setter SetBytes(size_t Settings::*member, int64_t low, int64_t high) {
@@ -112,8 +141,11 @@
        SetMillis(&Settings::answer_limit, 1'000, 3'600'000)},
       {"silence_limit_ms", "milliseconds from 500 to 600000", false,
        SetMillis(&Settings::silence_limit, 500, 600'000)},
-      {"heartbeat_ms", "milliseconds from 500 to 10000", false,
-       SetMillis(&Settings::heartbeat, 500, 10'000)},
+      PlatformField("heartbeat_ms", "milliseconds from 500 to 10000", 500,
+                    10000,
+                    [](double value, Settings* settings) {
+                      settings->heartbeat = MillisOf(value);
+                    }),
       {"fault_injection", "true or false", false,
        [](const std::string& text, Settings* settings) {
          settings->fault_injection = text == "true";
@@ -126,23 +158,33 @@
          return mode.has_value();
        }},
       {"readiness", kAddress, false, SetAddress(&Settings::readiness)},
-      {"order_lease_ms", "milliseconds from 0 to 60000", false,
-       SetMillis(&Settings::order_lease, 0, 60'000)},
-      {"rate_window_ms", "milliseconds from 1000 to 15000", false,
-       SetMillis(&Settings::rate_window, 1'000, 15'000)},
-      {"repeat_share", "a number from 0 to 10", false,
-       SetNumber(&RepeatBounds::share, 0, 10)},
-      {"repeat_reserve", "a number from 0 to 1000000", false,
-       SetNumber(&RepeatBounds::reserve, 0, 1e6)},
-      {"repeat_window_ms", "milliseconds from 1000 to 11000", false,
-       [](const std::string& text, Settings* settings) {
-         int64_t value = 0;
-         const bool is_valid = ParseCount(text, 1'000, 11'000, &value);
-         settings->repeats.window = std::chrono::milliseconds(value);
-         return is_valid;
-       }},
-      {"drain_limit_ms", "milliseconds from 1000 to 3600000", false,
-       SetMillis(&Settings::drain_limit, 1'000, 3'600'000)},
+      PlatformField("order_lease_ms", "milliseconds from 0 to 60000", 0, 60000,
+                    [](double value, Settings* settings) {
+                      settings->order_lease = MillisOf(value);
+                    }),
+      PlatformField("rate_window_ms", "milliseconds from 1000 to 15000", 1000,
+                    15000,
+                    [](double value, Settings* settings) {
+                      settings->rate_window = MillisOf(value);
+                    }),
+      PlatformField("repeat_share", "a number from 0 to 10", 0, 10,
+                    [](double value, Settings* settings) {
+                      settings->repeats.share = value;
+                    }),
+      PlatformField("repeat_reserve", "a number from 0 to 1000000", 0, 1e6,
+                    [](double value, Settings* settings) {
+                      settings->repeats.reserve = value;
+                    }),
+      PlatformField("repeat_window_ms", "milliseconds from 1000 to 11000", 1000,
+                    11000,
+                    [](double value, Settings* settings) {
+                      settings->repeats.window = MillisOf(value);
+                    }),
+      PlatformField("drain_limit_ms", "milliseconds from 1000 to 3600000", 1000,
+                    3600000,
+                    [](double value, Settings* settings) {
+                      settings->drain_limit = MillisOf(value);
+                    }),
   };
   return fields;
 }
@@ -178,6 +220,9 @@
       return MakeError(file, line, name, "expected the field only once");
     }
     seen.push_back(name);
+    if (field->may_be_empty && entry.second.IsNull()) {
+      continue;
+    }
     const bool is_scalar = entry.second.IsScalar();
     const std::string text = is_scalar ? entry.second.Scalar() : "";
     if (!is_scalar || !field->set(text, &settings)) {
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -8,6 +8,7 @@
 #define ROSEMARYHOOK_SETTINGS_H_
 
 #include <string>
+#include <vector>
 
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/repeat_limits.h"
@@ -45,6 +46,9 @@
   RepeatBounds repeats;  // limits over all hosts
   // A customer's rate and burst are enforced over any period of this length.
   Duration rate_window = std::chrono::seconds(8);
+  // Figures of the platform that were out of range, as "name=value" with the
+  // value that is used.
+  std::vector<std::string> adjusted;
 };
 
 Result<Settings> ParseSettings(const std::string& text,
--- a/rosemaryhook/testing/settings_test.cc
+++ b/rosemaryhook/testing/settings_test.cc
@@ -60,6 +60,48 @@
   BOOST_TEST((Failure(LoadSettings("/nonexistent.yaml")) != nullptr));
 }
 
+// Guards against a host that does not start because of a figure that the
+// platform fills in: of an unusual size, a fraction, or missing.
+BOOST_AUTO_TEST_CASE(
+    unusual_figures_of_the_platform_keep_no_host_from_its_start) {
+  const std::vector<std::pair<std::string, bool>> cases{
+      {"heartbeat_ms: 300", true},
+      {"heartbeat_ms: 60000", true},
+      {"heartbeat_ms: 1200.0", false},
+      {"heartbeat_ms: 1e300", true},
+      {"heartbeat_ms:", false},
+      {"drain_limit_ms: 2.5000", true},  // {{bounds.grace_s}}000
+      {"drain_limit_ms: 000", true},
+      {"order_lease_ms: 90000", true},
+      {"order_lease_ms: -1", true},
+      {"order_lease_ms:", false},
+      {"rate_window_ms: 20000", true},
+      {"rate_window_ms: 000", true},
+      {"repeat_window_ms: 15000", true},
+      {"repeat_share: 11", true},
+      {"repeat_share: -0.5", true},
+      {"repeat_share:", false},
+      {"repeat_reserve: 2000000", true},
+  };
+  for (const auto& [line, is_adjusted] : cases) {
+    const auto parsed = ParseSettings(kRequiredFields + line + "\n", "f");
+    BOOST_TEST((Failure(parsed) == nullptr), line);
+    if (const auto* settings = std::get_if<Settings>(&parsed)) {
+      BOOST_TEST(settings->adjusted.size() == (is_adjusted ? 1U : 0U), line);
+      BOOST_TEST(Millis(settings->heartbeat) >= 500, line);
+      BOOST_TEST(Millis(settings->heartbeat) <= 10'000, line);
+      BOOST_TEST(settings->repeats.share >= 0, line);
+    }
+  }
+  // What is no number is an error still.
+  for (const std::string line :
+       {"heartbeat_ms: nan", "repeat_share: nan", "order_lease_ms: 3s",
+        "rate_window_ms: [8]", "zone:"}) {
+    const auto parsed = ParseSettings(kRequiredFields + line + "\n", "f");
+    BOOST_TEST((Failure(parsed) != nullptr), line);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
