--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -16,6 +16,7 @@
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/direct_tokens.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/machine.h"
 #include "rosemaryhook/peer_reads.h"
 #include "rosemaryhook/table.h"
 #include "rosemaryhook/task.h"
@@ -143,7 +144,7 @@
   servers->readiness->handler = DirectReadinessHandler(servers->daemon);
   servers->operators->handler = OperatorsHandler(servers->daemon);
   servers->callers->requests->memory.limit =
-      RequestMemoryLimit(settings.memory_mb << 20);
+      RequestMemoryLimit(HostBytes(settings));
   servers->readiness->requests = servers->callers->requests;
   servers->operators->requests = servers->callers->requests;
   for (const auto& [address, server] :
--- a/rosemaryhook/relay_main.cc
+++ b/rosemaryhook/relay_main.cc
@@ -9,6 +9,7 @@
 #include "rosemaryhook/fleet_sync.h"
 #include "rosemaryhook/host.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/machine.h"
 #include "rosemaryhook/operator_service.h"
 #include "rosemaryhook/relay.h"
 
@@ -84,7 +85,7 @@
   servers->callers->refusal = UnreadableRefusal;
   servers->operators->handler = OperatorHandler(servers->host);
   servers->callers->requests->memory.limit =
-      RequestMemoryLimit(settings.memory_mb << 20);
+      RequestMemoryLimit(HostBytes(settings));
   servers->operators->requests = servers->callers->requests;
   servers->peers->handler = [host = servers->host](auto stream) {
     return ServePeer(host, std::move(stream));
