--- a/rosemaryhook/daemon_signals.cc
+++ b/rosemaryhook/daemon_signals.cc
@@ -4,6 +4,7 @@
 #include "rosemaryhook/daemon_signals.h"
 
 #include <csignal>
+#include <initializer_list>
 
 namespace rosemaryhook {
 namespace {
