--- a/rosemaryhook/testing/ended_processes_process_test.cc
+++ b/rosemaryhook/testing/ended_processes_process_test.cc
@@ -212,7 +212,7 @@
       headers["Content-Length"] = std::to_string(odd.body.size());
       std::string text = odd.method + " " + target + " HTTP/1.1\r\n";
       for (const auto& [name, value] : headers) {
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
       }
       SendRaw(site.Callers(0), text + "\r\n" + odd.body);
       BOOST_TEST(RestartIfEnded(site, site.host(0)),
