Clear requests of crashes by answers that get further

What callers saw: equal long streams (same caller, method, path and body) were refused as requests that crash runners when runners were killed, as no stream completes between three crashes.

Change: a crash of a request keeps the most events of an answer lost in it, a maximum over all hosts; an attempt with 40 events more clears the request of that crash, 0.3 s after it at the earliest, so that other hosts can tell. Messages about parts of prompts are as before; entries of whole requests have a third number.

Not proved: a request that crashes runners at events that differ by more than 40 may be let through more often. A stream taken up by a new call counts its events from there, which may clear a crash too early. Answers that are no event streams clear only when complete.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -295,6 +295,7 @@
   call.events.partial.clear();
   const bool has_events = IsStream(head);
   EventBoundary boundary;
+  const int earlier_events = call.attempt_events;
   std::string data = std::move(first);
   while (true) {
     if (data.empty()) {
@@ -311,6 +312,7 @@
     }
     if (has_events) {
       TrackEvents(data, &boundary);
+      call.attempt_events = earlier_events + boundary.events;
     }
     if (!call.attempt_has_begun && (boundary.has_event || !has_events)) {
       RecordAnswerBegun(&call);
@@ -510,6 +512,9 @@
   call.attempt_incarnation = RunnerIncarnation(runner, view->entry.start_ms);
   call.attempt_start_ms = view->entry.start_ms;
   call.attempt_has_begun = false;
+  if (!call.head_sent) {
+    call.attempt_events = 0;
+  }
   if (call.first_sent == Time()) {
     call.first_sent = now;
   }
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -92,8 +92,8 @@
 // A runner that broke off requests.
 struct BrokenRunner {
   // Those requests, and the parts of the prompts of those that waited for their
-  // answers.
-  std::set<std::string> parts;
+  // answers, each with the most events of an answer to it.
+  std::map<std::string, int> parts;
   Time checked_at;  // when it was last checked for a crash
   bool has_crashed = false;
 };
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -31,6 +31,10 @@
 // crash that ends many requests.
 constexpr Duration kMinBlockInterval = std::chrono::milliseconds(10);
 
+// Interval between looks at the progress of answers, while a part is blocked or
+// about to be.
+constexpr Duration kProgressInterval = std::chrono::milliseconds(200);
+
 constexpr Duration kMaxBlockWait = std::chrono::seconds(5);
 
 // Most requests are lost with their runner only once, so that the first crash
@@ -68,11 +72,12 @@
 }
 
 void RecordCrashOf(const std::string& incarnation,
-                   const std::set<std::string>& parts,
+                   const std::map<std::string, int>& parts,
                    DirectDaemon* daemon) {
   const Time now = Now();
-  for (const std::string& part : parts) {
-    if (RecordPartCrash(part, incarnation, now, &daemon->prompt_suspects)) {
+  for (const auto& [part, events] : parts) {
+    if (RecordPartCrash(part, incarnation, now, &daemon->prompt_suspects,
+                        events)) {
       TellOfPart(part, daemon);
     }
   }
@@ -86,7 +91,9 @@
   }
   found->second.has_crashed = true;
   const auto& parts = found->second.parts;
-  const auto requests = std::count_if(parts.begin(), parts.end(), IsRequestKey);
+  const auto requests =
+      std::count_if(parts.begin(), parts.end(),
+                    [](const auto& part) { return IsRequestKey(part.first); });
   Log("runner_crash", {{"start", incarnation},
                        {"requests", requests},
                        {"waiting_parts", parts.size() - requests}});
@@ -135,8 +142,23 @@
   NotifyRunnerChange(daemon);
 }
 
+// Clears requests whose answers have got further than those lost in crashes.
+void RecordProgress(Time now, DirectDaemon* daemon) {
+  for (const DirectCall* call : daemon->running_calls) {
+    if (call->exchange != nullptr &&
+        RecordAnswerProgress(call->request_key, call->attempt_events, now,
+                             &daemon->prompt_suspects)) {
+      Log("request_outlived", {{"id", call->headers.request_id},
+                               {"part", call->request_key},
+                               {"events", call->attempt_events}});
+      AddChangedPart(call->request_key, daemon);
+    }
+  }
+}
+
 void BlockParts(DirectDaemon* daemon) {
   const Time now = Now();
+  RecordProgress(now, daemon);
   const auto before = daemon->prompt_suspects.blocked;
   const std::vector<std::string> added =
       UpdateBlockedParts(now, &daemon->prompt_suspects);
@@ -163,8 +185,11 @@
 awaitable<void> BlockPartsLoop(DirectDaemonPtr daemon) {
   while (!daemon->is_stopping) {
     const Time now = Now();
-    const Time due = std::min(now + kMaxBlockWait,
-                              NextBlockTime(daemon->prompt_suspects, now));
+    const Time next = NextBlockTime(daemon->prompt_suspects, now);
+    const bool may_clear =
+        next != Time::max() || !daemon->prompt_suspects.blocked.empty();
+    const Time due =
+        std::min(now + (may_clear ? kProgressInterval : kMaxBlockWait), next);
     if (!daemon->are_crashes_new) {
       co_await daemon->part_signal.Wait(due);
     }
@@ -195,11 +220,14 @@
     return;
   }
   BrokenRunner& broken = daemon.broken_runners[call.attempt_incarnation];
-  broken.parts.insert(parts.begin(), parts.end());
+  std::map<std::string, int> events;
+  for (const std::string& part : parts) {
+    events[part] = IsRequestKey(part) ? call.attempt_events : 0;
+    broken.parts[part] = std::max(broken.parts[part], events[part]);
+  }
   const Time now = Now();
   if (broken.has_crashed) {
-    RecordCrashOf(call.attempt_incarnation, {parts.begin(), parts.end()},
-                  &daemon);
+    RecordCrashOf(call.attempt_incarnation, events, &daemon);
   } else if (now - broken.checked_at >= kCheckInterval) {
     broken.checked_at = now;
     asio::co_spawn(daemon.io,
--- a/rosemaryhook/event_splitter.cc
+++ b/rosemaryhook/event_splitter.cc
@@ -46,9 +46,27 @@
   return id;
 }
 
+void CountEvents(std::string_view chunk, EventBoundary* boundary) {
+  const auto is_empty = [](std::string_view line) {
+    return line.empty() || line == "\r";
+  };
+  size_t begin = 0;
+  for (size_t end = chunk.find('\n'); end != std::string_view::npos;
+       end = chunk.find('\n', begin)) {
+    const bool ends_event =
+        !boundary->is_within_line && is_empty(chunk.substr(begin, end - begin));
+    boundary->events += ends_event ? 1 : 0;
+    boundary->is_within_line = false;
+    begin = end + 1;
+  }
+  boundary->is_within_line =
+      boundary->is_within_line || !is_empty(chunk.substr(begin));
+}
+
 }  // namespace
 
 void TrackEvents(std::string_view chunk, EventBoundary* boundary) {
+  CountEvents(chunk, boundary);
   // An empty line after another line is at most "\n\r\n".
   constexpr size_t kTailBytes = 3;
   const std::string_view end =
--- a/rosemaryhook/event_splitter.h
+++ b/rosemaryhook/event_splitter.h
@@ -32,9 +32,11 @@
   std::string tail;  // the last bytes of the stream
   bool has_event = false;
   bool is_within_event = false;
+  bool is_within_line = false;
+  int events = 0;  // empty lines, which end events
 };
 
-// Cost: O(bytes) until the first complete event, then O(1).
+// Cost: O(bytes).
 void TrackEvents(std::string_view chunk, EventBoundary* boundary);
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/prompt_suspects.cc
+++ b/rosemaryhook/prompt_suspects.cc
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace rosemaryhook {
@@ -17,6 +18,9 @@
 
 constexpr size_t kMaxDescribedCrashes = 8;  // bounds a log line
 
+// Bounds what other hosts tell.
+constexpr int64_t kMaxEvents = 1'000'000'000;
+
 constexpr std::string_view kRequestPrefix = "request_";
 
 std::string Hash(const std::string& text) {
@@ -260,34 +264,42 @@
   return &added;
 }
 
-// Merges one crash. Returns false if the entry is malformed.
-bool MergeCrash(const std::string& part,
-                const std::string& incarnation,
-                const Json& entry,
-                Time now,
-                PromptSuspects* suspects) {
-  if (!entry.is_array() || entry.size() != 2 || !entry[0].is_number() ||
-      !entry[1].is_boolean()) {
-    return false;
+// Parses [age in ms, is cleared], for a whole request with the events of its
+// answer.
+std::optional<PartCrash> ParseCrash(const Json& entry, Time now) {
+  if (!entry.is_array() || entry.size() < 2 || entry.size() > 3 ||
+      !entry[0].is_number() || !entry[1].is_boolean() ||
+      (entry.size() == 3 && !entry[2].is_number())) {
+    return std::nullopt;
   }
   const auto age = std::clamp<int64_t>(entry[0].get<int64_t>(), 0,
                                        Millis(kPartCrashTimeout));
-  const Time at = now - std::chrono::milliseconds(age);
+  const auto events = std::clamp<int64_t>(
+      entry.size() == 3 ? entry[2].get<int64_t>() : 0, 0, kMaxEvents);
+  return PartCrash{now - std::chrono::milliseconds(age), entry[1].get<bool>(),
+                   static_cast<int>(events)};
+}
+
+void MergeCrash(const std::string& part,
+                const std::string& incarnation,
+                const PartCrash& told,
+                Time now,
+                PromptSuspects* suspects) {
   const auto known = suspects->by_part.find(part);
   if (known == suspects->by_part.end() ||
       !known->second.crashes.contains(incarnation)) {
     PartSuspect* suspect = FindOrAdd(part, suspects);
     if (suspect != nullptr) {
-      suspect->crashes[incarnation] = {at, entry[1].get<bool>()};
+      suspect->crashes[incarnation] = told;
       UpdateRank(part, now, suspects);
     }
-    return true;
+    return;
   }
   PartCrash& crash = known->second.crashes[incarnation];
-  crash.at = std::min(crash.at, at);
-  crash.is_cleared = crash.is_cleared || entry[1].get<bool>();
+  crash.at = std::min(crash.at, told.at);
+  crash.is_cleared = crash.is_cleared || told.is_cleared;
+  crash.events = std::max(crash.events, told.events);
   UpdateRank(part, now, suspects);
-  return true;
 }
 
 // The oldest and the newest crashes, half of kMaxCrashesPerMessage each, so
@@ -304,8 +316,11 @@
   }
   Json entries = Json::object();
   for (const auto& [at, incarnation] : order) {
-    entries[incarnation] = {Millis(now - at),
-                            suspect.crashes.at(incarnation).is_cleared};
+    const PartCrash& crash = suspect.crashes.at(incarnation);
+    Json& entry = entries[incarnation] = {Millis(now - at), crash.is_cleared};
+    if (suspect.is_request) {
+      entry.push_back(crash.events);
+    }
   }
   return entries;
 }
@@ -315,8 +330,10 @@
   return std::all_of(
       suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& crash) {
         const auto entry = entries.find(crash.first);
-        return entry != entries.end() && entry->is_array() &&
-               entry->size() == 2 && (*entry)[1] == crash.second.is_cleared;
+        const auto told =
+            entry == entries.end() ? std::nullopt : ParseCrash(*entry, Time());
+        return told && told->is_cleared == crash.second.is_cleared &&
+               told->events == crash.second.events;
       });
 }
 
@@ -345,16 +362,48 @@
 bool RecordPartCrash(const std::string& part,
                      const std::string& incarnation,
                      Time now,
-                     PromptSuspects* suspects) {
+                     PromptSuspects* suspects,
+                     int events) {
+  const auto known = suspects->by_part.find(part);
+  if (known != suspects->by_part.end()) {
+    const auto crash = known->second.crashes.find(incarnation);
+    if (crash != known->second.crashes.end()) {
+      const bool is_longer = events > crash->second.events;
+      crash->second.events = std::max(crash->second.events, events);
+      return is_longer;
+    }
+  }
   PartSuspect* suspect = FindOrAdd(part, suspects);
-  if (suspect == nullptr ||
-      !suspect->crashes.emplace(incarnation, PartCrash{now}).second) {
+  if (suspect == nullptr) {
     return false;
   }
+  suspect->crashes[incarnation] = {now, false, events};
   UpdateRank(part, now, suspects);
   return true;
 }
 
+bool RecordAnswerProgress(const std::string& request,
+                          int events,
+                          Time now,
+                          PromptSuspects* suspects) {
+  const auto known = suspects->by_part.find(request);
+  if (known == suspects->by_part.end()) {
+    return false;
+  }
+  bool has_changed = false;
+  for (auto& [incarnation, crash] : known->second.crashes) {
+    if (!crash.is_cleared && now - crash.at >= kLostAnswersWait &&
+        events >= crash.events + kOutlivingEvents) {
+      crash.is_cleared = true;
+      has_changed = true;
+    }
+  }
+  if (has_changed) {
+    UpdateRank(request, now, suspects);
+  }
+  return has_changed;
+}
+
 std::vector<std::string> RecordPartsBegun(const std::vector<std::string>& parts,
                                           PromptSuspects* suspects) {
   std::vector<std::string> cleared;
@@ -493,7 +542,9 @@
       continue;
     }
     for (const auto& [incarnation, entry] : entries.items()) {
-      MergeCrash(part, incarnation, entry, now, suspects);
+      if (const auto crash = ParseCrash(entry, now)) {
+        MergeCrash(part, incarnation, *crash, now, suspects);
+      }
     }
     const auto known = suspects->by_part.find(part);
     if (known != suspects->by_part.end() && HasAll(entries, known->second)) {
--- a/rosemaryhook/prompt_suspects.h
+++ b/rosemaryhook/prompt_suspects.h
@@ -4,6 +4,7 @@
 //   RecordPartCrash(part, incarnation, now, &suspects);
 //   RecordPartsBegun(parts, &suspects);     // an answer has begun
 //   RecordPartsBegun({request}, &suspects);  // an answer is complete
+//   RecordAnswerProgress(request, events, now, &suspects);
 //   UpdateBlockedParts(now, &suspects);
 //   if (!BlockedPart(suspects, parts).empty()) ... refuse, not run ...
 //
@@ -70,10 +71,22 @@
 constexpr size_t kMaxSuspectParts = 2048;
 constexpr size_t kMaxCrashesPerPart = 64;
 
+// An answer that has this many events more than those of the equal requests
+// that were lost in a crash clears the request of it. Covers events that a
+// runner had sent and that were lost with it. Events are counted and not time,
+// as a request may run for longer on a slow or paused runner before it crashes
+// it.
+constexpr int kOutlivingEvents = 40;
+
+// Time for which other hosts may tell of longer answers lost in the same crash.
+constexpr Duration kLostAnswersWait = std::chrono::milliseconds(300);
+
 // A crash of a runner while a request with the part waited for its answer.
 struct PartCrash {
   Time at;
   bool is_cleared = false;  // an answer to a request with the part began since
+  // For a whole request, the most events that the answer to a lost attempt had.
+  int events = 0;
 };
 
 struct PartSuspect {
@@ -112,11 +125,21 @@
 // Identifies a runner's process between two starts.
 std::string RunnerIncarnation(std::string_view runner, int64_t start_ms);
 
-// Records a crash. Returns false if it was known.
+// Records a crash. `events`, for a whole request, is the number of events of
+// the answer until then. Returns false if all that was known.
 bool RecordPartCrash(const std::string& part,
                      const std::string& incarnation,
                      Time now,
-                     PromptSuspects* suspects);
+                     PromptSuspects* suspects,
+                     int events = 0);
+
+// Records that an attempt of a whole request runs and that its answer has
+// `events` so far. Returns whether that cleared the request of crashes: it got
+// past the point at which the lost attempts were.
+bool RecordAnswerProgress(const std::string& request,
+                          int events,
+                          Time now,
+                          PromptSuspects* suspects);
 
 // Records that an answer to a request with `parts` has begun, or is complete
 // for a whole request. Returns those that it cleared of crashes.
--- a/rosemaryhook/testing/event_splitter_test.cc
+++ b/rosemaryhook/testing/event_splitter_test.cc
@@ -71,6 +71,28 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(events_are_counted_wherever_the_stream_is_split) {
+  struct Case {
+    std::string stream;
+    int events;
+  };
+  const std::vector<Case> cases{{"", 0},
+                                {"data: a\n", 0},
+                                {"data: a\n\n", 1},
+                                {"data: a\r\n\r\ndata: b\r\n\r\n", 2},
+                                {"id: 1\ndata: a\n\ndata: b\n\ndata", 2}};
+  for (const Case& test : cases) {
+    for (size_t chunk_size = 1; chunk_size <= test.stream.size() + 1;
+         ++chunk_size) {
+      EventBoundary boundary;
+      for (size_t at = 0; at < test.stream.size(); at += chunk_size) {
+        TrackEvents(test.stream.substr(at, chunk_size), &boundary);
+      }
+      BOOST_TEST(boundary.events == test.events, test.stream);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_endless_event_uses_bounded_memory) {
   EventSplitter splitter;
   size_t extracted = 0;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -20,6 +20,9 @@
 foreach(suite ${UNIT_SUITES})
   add_test(NAME unit.${suite} COMMAND unit_tests --run_test=${suite})
 endforeach()
+# In request_suspects_test.cc.
+add_test(NAME unit.long_request_suspects
+  COMMAND unit_tests --run_test=long_request_suspects)
 
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
