Blame no server for a caller that left

A write to a caller that has left ends its attempt as truncated. If that answer would have ended with its connection, its server counted as having broken it off: one more connection to check it, and a crash of the request if the server ended soon after. Found by reading in a review; neither seen nor tested.

--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -216,7 +216,8 @@
       view == daemon.runners.end() || view->second.entry.is_leaving ||
       HasSaidLeaving(view->second) || view->second.removed_at != Time();
   const std::vector<std::string> parts = SuspectedParts(call);
-  if (!outcome.is_closed_by_peer || call.is_blocked || is_leaving) {
+  if (!outcome.is_closed_by_peer || call.is_disconnected || call.is_blocked ||
+      is_leaving) {
     return;
   }
   BrokenRunner& broken = daemon.broken_runners[call.attempt_incarnation];
