Add tests of streams that two software versions write

The stand-in's backend servers have a version of their software, which they write into the list and into their events; the fault "software" restarts some with another one. The store's rows have parts and can be read by key range, and there is a second customer.

order/... checks that the text of a stream comes from servers of one version: within one answer (broken off within an event, and at each byte), and over its caller's attempts: at the same and another host, after all hosts were killed, after the old version's servers have gone, and without a usable record.

--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -22,7 +22,10 @@
 // begins to answer a prompt with this part crashes and is back later; GET
 // /ledger lists the requests with the part as "crashing"), crashing_request
 // (text: the same for requests with it in path or body), crash_after_events (a
-// stream crashes its backend server after so many events).
+// stream crashes its backend server after so many events), software ({id:
+// version}: these backend servers restart with that version of their software,
+// which names itself in the events; GET /ledger lists the versions that
+// answered a request as "software").
 #include <openssl/evp.h>
 
 #include <CLI/CLI.hpp>
@@ -49,14 +52,18 @@
   bool is_removed = false;
 };
 
+// By table, and part if there is one (TableOf).
 using Tables = std::map<std::string, std::map<std::string, Row>>;
 
+constexpr char kFirstSoftware[] = "v1";
+
 struct Backend {
   std::string id;
   std::string service;
   std::string address;
   std::string advertised;  // address in its table entry
   std::string zone;
+  std::string software = kFirstSoftware;
   bool has_engine = false;
   bool is_leaving = false;
   std::set<std::string> models;
@@ -81,6 +88,8 @@
   std::vector<std::shared_ptr<HttpServer>> servers;
   std::map<std::string, int> runs;               // request id -> number of runs
   std::map<std::string, std::string> customers;  // request id -> customer
+  // Request id -> versions of the software that wrote events for it.
+  std::map<std::string, std::set<std::string>> software;
   Json orders = Json::array();
   Json crashing =
       Json::array();           // times at which crashing requests began to run
@@ -118,6 +127,14 @@
   return bytes;
 }
 
+std::string TableOf(const std::string& table, const std::string& part) {
+  return part.empty() ? table : table + "/" + part;
+}
+
+std::string TableOf(const Json& name) {
+  return TableOf(name.at("table").get<std::string>(), name.value("part", ""));
+}
+
 void Put(Site* site,
          const std::string& table,
          const std::string& key,
@@ -161,8 +178,27 @@
           {"now_ms", Millis(Now().time_since_epoch())}};
 }
 
+// The rows of a table, or of the keys from `from` to `to`.
+Json RowsInRange(const Site& site, const std::string& target) {
+  Json found = RowsOf(
+      site,
+      TableOf(QueryParameter(target, "table"), QueryParameter(target, "part")),
+      0);
+  const std::string from = QueryParameter(target, "from");
+  const std::string to = QueryParameter(target, "to");
+  Json rows = Json::array();
+  for (const Json& row : found["rows"]) {
+    const std::string key = row.at("key").get<std::string>();
+    if (key >= from && (to.empty() || key < to)) {
+      rows.push_back(row);
+    }
+  }
+  found["rows"] = std::move(rows);
+  return found;
+}
+
 int64_t VersionOf(const Site& site, const Json& name) {
-  const auto table = site.tables.find(name.at("table").get<std::string>());
+  const auto table = site.tables.find(TableOf(name));
   if (table == site.tables.end()) {
     return 0;
   }
@@ -178,20 +214,17 @@
   for (const Json& expected : body.at("expect")) {
     const std::string key = expected.at("key").get<std::string>();
     holds = holds && VersionOf(*site, expected) == expected.at("ver");
-    rows.push_back(RowJson(
-        key, site->tables[expected.at("table").get<std::string>()][key]));
+    rows.push_back(RowJson(key, site->tables[TableOf(expected)][key]));
   }
   if (!holds) {
     return {412, {{"rows", rows}, {"ver", site->version}}};
   }
   for (const Json& put : body.at("put")) {
-    Put(site, put.at("table").get<std::string>(),
-        put.at("key").get<std::string>(),
+    Put(site, TableOf(put), put.at("key").get<std::string>(),
         DecodeBase64(put.at("value").get<std::string>()));
   }
   for (const Json& drop : body.value("remove", Json::array())) {
-    Put(site, drop.at("table").get<std::string>(),
-        drop.at("key").get<std::string>(), "", true);
+    Put(site, TableOf(drop), drop.at("key").get<std::string>(), "", true);
   }
   return {200, {{"ver", site->version}}};
 }
@@ -220,7 +253,8 @@
   }
   return {{"runs", site.runs},          {"customers", site.customers},
           {"orders", site.orders},      {"crashing", site.crashing},
-          {"most_held", peak_adapters}, {"leaks", site.leaked_headers}};
+          {"most_held", peak_adapters}, {"leaks", site.leaked_headers},
+          {"software", site.software}};
 }
 
 Backend* FindBackend(Site* site, const std::string& id) {
@@ -251,6 +285,19 @@
   ++backend->incarnation;
 }
 
+// Restarts backend servers with other software. They load their model again at
+// once, so that tests need not wait for it.
+void ChangeSoftware(const Json& software, Site* site) {
+  for (const auto& [id, version] : software.items()) {
+    if (Backend* backend = FindBackend(site, id)) {
+      const std::set<std::string> models = backend->models;
+      ResetBackend(backend);
+      backend->models = models;
+      backend->software = version.get<std::string>();
+    }
+  }
+}
+
 // Handles the operator's requests, which faults do not affect. Returns false
 // for any other request.
 awaitable<bool> HandleOperator(Site* site,
@@ -282,6 +329,7 @@
     if (Backend* restarted = FindBackend(site, body.value("restart", ""))) {
       ResetBackend(restarted);
     }
+    ChangeSoftware(body.value("software", Json::object()), site);
     co_await SendJson(reply, 200, Json::object());
   } else {
     co_return false;
@@ -304,9 +352,8 @@
   if (site->faults.IsOn("store_down")) {
     co_await SendJson(reply, 503, Json::object());
   } else if (request.target.starts_with("/v1/rows-get")) {
-    co_await SendStoreJson(
-        *site, reply, 200,
-        RowsOf(*site, QueryParameter(request.target, "table"), 0));
+    co_await SendStoreJson(*site, reply, 200,
+                           RowsInRange(*site, request.target));
   } else if (request.target.starts_with("/v1/rows-feed")) {
     co_await ServeFeed(site, request, reply);
   } else if (request.target == "/v1/rows-tx") {
@@ -391,7 +438,7 @@
 // caller's key or let a caller set values that are reserved for the system.
 void RecordLeakedHeaders(const HttpRequest& request, Site* site) {
   for (const char* name : {"Authorization", "X-Hold", "X-Pin-Ms", "X-Kv-Backup",
-                           "Kv-From", "Kv-Fetch"}) {
+                           "Kv-From", "Kv-Fetch", "Resumes"}) {
     if (!HeaderOf(request, name).empty()) {
       site->leaked_headers += std::string(name) + " ";
     }
@@ -458,13 +505,16 @@
   if (crashes && next == crash_at) {
     co_return co_await AbortByCrash(site, backend, incarnation, reply);
   }
+  site->software[HeaderOf(request, "X-Attempt-Id")].insert(backend->software);
+  const std::string mark =
+      backend->software == kFirstSoftware ? "" : "/" + backend->software;
   co_await reply.Begin(200, std::move(headers));
   for (; next <= kEventsPerStream; ++next) {
     if (crashes && next == crash_at) {
       co_return co_await AbortByCrash(site, backend, incarnation, reply);
     }
     std::string event = "id: " + std::to_string(next) + "\ndata: e" +
-                        std::to_string(next) + "\n\n";
+                        std::to_string(next) + mark + "\n\n";
     if (is_truncated && next == kEventsPerStream / 2) {
       co_await reply.Chunk(event.substr(0, 4));
       reply.Abort();
@@ -561,7 +611,7 @@
           {"service", backend->service},
           {"address", backend->advertised},
           {"zone", backend->zone},
-          {"version", "v1"},
+          {"version", backend->software},
           {"slots", 8},
           {"state", backend->is_leaving ? "draining" : "ready"},
           {"cold_remaining_ms", 0},
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -8,6 +8,9 @@
 #include <fstream>
 
 namespace rosemaryhook::testing {
+
+const char kOtherKey[] = "key-pihla";
+
 namespace {
 
 constexpr char kKey[] = "key-marsu";
@@ -209,7 +212,9 @@
                                  {"unit", "token_count"},
                                  {"plain_tokens", 10},
                                  {"rate_per_s", options_.rate},
-                                 {"burst", options_.burst}}})}});
+                                 {"burst", options_.burst}},
+                                {{"name", "pihla"},
+                                 {"api_keys", Json::array({kOtherKey})}}})}});
 }
 
 void Site::Set(const std::string& table,
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -20,6 +20,9 @@
 
 namespace rosemaryhook::testing {
 
+// The API key of customer pihla, who has no limit.
+extern const char kOtherKey[];
+
 struct SiteOptions {
   int port = 25000;  // first of the 100 ports that the site uses
   int hosts = 2;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -31,7 +31,7 @@
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
-  crashing_requests retry_storm repeat_rules)
+  crashing_requests retry_storm repeat_rules order)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -135,7 +135,14 @@
   ended_processes/no_reader_of_the_log_holds_a_host_up
   ended_processes/a_host_outlives_a_lack_of_descriptors
   ended_processes/no_answer_of_the_store_at_the_start_ends_a_host
-  endless_answers/a_store_that_writes_without_end_ends_no_host)
+  endless_answers/a_store_that_writes_without_end_ends_no_host
+  order/no_answer_joins_two_versions
+  order/a_stream_cut_at_any_byte_joins_no_versions
+  order/a_take_up_keeps_to_the_version_of_its_stream
+  order/a_take_up_keeps_its_version_after_all_hosts_were_killed
+  order/a_take_up_is_refused_once_its_version_is_gone
+  order/a_take_up_without_a_record_is_refused
+  order/one_version_alone_asks_nothing)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
