Continue a stream at the version that began it

Callers got answers whose text came from two versions of the runners' software, joined within one answer.

Cause: an attempt after a truncated one went to any runner of the service; the version in the list was not read. Ruled out: the events themselves, which are split at their ends as before (joined at any byte of the first runner's answer that ends after its first event).

Change: the list entry's version is decoded; an entry whose version is no text names no runner. A call is bound to the version of the runner that wrote the first event, copied at the moment of the send and set before the caller gets that event; later attempts leave out other versions, and if no runner of it is left the connection to the caller is broken off at once. A request is not sent if the entry's version has changed since it was chosen. Bound requests wait for loads of their own, as a load on another version's runner does not serve them.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -162,6 +162,7 @@
              const DirectCall& call) {
   const auto view = daemon.runners.find(runner);
   return !call.is_disconnected && view != daemon.runners.end() &&
+         view->second.entry.software_version == call.attempt_software &&
          IsListed(view->second, Now()) &&
          !IsPaused(view->second.pause, Now()) &&
          IsRunnerListTrusted(daemon, Now()) && !HasBlockedPart(call) &&
@@ -279,6 +280,15 @@
       .starts_with("text/event-stream");
 }
 
+// Binds the stream to the version of the server that wrote its first event,
+// just before the caller gets that event.
+void BindStream(DirectCall* call) {
+  if (call->stream_software) {
+    return;
+  }
+  call->stream_software = call->attempt_software;
+}
+
 // Forwards an answer as it arrives, in complete events only if another backend
 // server can continue it.
 awaitable<AttemptOutcome> ForwardStream(DirectCall& call,
@@ -321,6 +331,9 @@
                             ? ExtractEvents(data, &call.events)
                             : std::move(data);
     data.clear();
+    if (forwards_complete_events && !ready.empty()) {
+      BindStream(&call);
+    }
     if (!co_await call.reply.Chunk(std::move(ready))) {
       exchange.Cancel();
       call.is_disconnected = true;
@@ -511,6 +524,7 @@
   call.last_runner = runner;
   call.attempt_incarnation = RunnerIncarnation(runner, view->entry.start_ms);
   call.attempt_start_ms = view->entry.start_ms;
+  call.attempt_software = view->entry.software_version;
   call.attempt_has_begun = false;
   if (!call.head_sent) {
     call.attempt_events = 0;
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -42,9 +42,13 @@
   std::string attempt_incarnation;  // of the newest attempt's runner
   int64_t attempt_start_ms = 0;     // of that runner
   bool attempt_has_begun = false;   // the newest attempt's answer has a body
-  int attempt_events = 0;  // of that stream, and of attempts it continues
-  bool head_sent = false;  // the caller has the head of an answer
-  EventSplitter events;    // of a stream that can be continued
+  int attempt_events = 0;        // of that stream, and of attempts it continues
+  bool head_sent = false;        // the caller has the head of an answer
+  EventSplitter events;          // of a stream that can be continued
+  std::string attempt_software;  // version of the newest attempt's runner
+  // Version that began the stream, once the caller has an event of it. All
+  // later attempts keep to it.
+  std::optional<std::string> stream_software;
   std::string last_runner;
   std::string no_runner_reason;
   std::optional<Duration> no_runner_retry_after;
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -140,7 +140,8 @@
   RunnerViews runners;
   bool runners_known = false;
   StoreContact runner_contact;
-  std::map<std::string, PendingLoad> pending_loads;  // by adapter
+  // By adapter, and the version of their software if that is bound.
+  std::map<std::string, PendingLoad> pending_loads;
   int64_t probe_number = 0;
   std::map<int64_t, std::shared_ptr<PendingProbe>> probes;  // by number
 
--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -63,9 +63,9 @@
 
 bool EqualsExceptAdapters(const RunnerEntry& a, const RunnerEntry& b) {
   return a.service == b.service && a.address == b.address && a.zone == b.zone &&
-         a.slots == b.slots && a.is_leaving == b.is_leaving &&
-         a.start_ms == b.start_ms && a.cold_remaining == b.cold_remaining &&
-         a.models == b.models;
+         a.software_version == b.software_version && a.slots == b.slots &&
+         a.is_leaving == b.is_leaving && a.start_ms == b.start_ms &&
+         a.cold_remaining == b.cold_remaining && a.models == b.models;
 }
 
 // Whether a row of the list contains changes that other hosts do not learn from
@@ -104,6 +104,7 @@
     Log("runner", {{"id", entry.id},
                    {"service", entry.service},
                    {"zone", entry.zone},
+                   {"software", entry.software_version},
                    {"state", entry.is_leaving ? "leaving" : "new"},
                    {"cold_ms", Millis(entry.cold_remaining)}});
     // Requests in progress to the previous process still decrement these
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -95,6 +95,14 @@
       refusal.code + "\n");
 }
 
+// Key of the load that such requests wait for. A begun stream waits for a
+// runner of its version, other requests for any.
+std::string PendingKey(const WantedRunner& wanted) {
+  return wanted.software_version
+             ? wanted.adapter + " for " + *wanted.software_version
+             : wanted.adapter;
+}
+
 WantedRunner MakeWantedRunner(const DirectCall& call) {
   const DirectDaemon& daemon = *call.daemon;
   WantedRunner wanted;
@@ -102,6 +110,7 @@
   wanted.zone = daemon.settings.zone;
   wanted.has_engine = call.service->has_engine;
   wanted.tried = call.tried;
+  wanted.software_version = call.stream_software;
   wanted.zones_out = &daemon.zones_out;
   if (wanted.has_engine) {
     wanted.model = call.headers.model;
@@ -117,7 +126,7 @@
   wanted.prompt_tokens = call.headers.prompt_tokens;
   wanted.shared_prompt = call.shared_prompt;
   wanted.shared_tokens = call.shared_tokens;
-  const auto pending = daemon.pending_loads.find(wanted.adapter);
+  const auto pending = daemon.pending_loads.find(PendingKey(wanted));
   if (pending != daemon.pending_loads.end() &&
       Now() >= pending->second.deadline) {
     wanted.failed_home = pending->second.runner;
@@ -242,7 +251,7 @@
 void AssignWaitingLoad(const WantedRunner& wanted,
                        DirectDaemon* daemon,
                        ScopedWaitingLoad* waiting_load) {
-  const auto pending = daemon->pending_loads.find(wanted.adapter);
+  const auto pending = daemon->pending_loads.find(PendingKey(wanted));
   if (pending == daemon->pending_loads.end()) {
     return;
   }
@@ -367,10 +376,11 @@
         HasOnlyLimitedHolders(choice) && limited_wait.CountAhead() > 0;
     if (choice.runner != nullptr && choice.is_resident && !must_wait) {
       if (choice.copy_to != nullptr) {
-        RequestAdapterLoad(wanted.adapter + " copy", choice.copy_to->entry.id,
-                           wanted, Duration::zero(), &daemon);
+        RequestAdapterLoad(PendingKey(wanted) + " copy",
+                           choice.copy_to->entry.id, wanted, Duration::zero(),
+                           &daemon);
       }
-      daemon.pending_loads.erase(wanted.adapter);
+      daemon.pending_loads.erase(PendingKey(wanted));
       const std::string least = co_await PickHolder(call, wanted, choice);
       if (least.empty()) {
         continue;
@@ -391,7 +401,7 @@
       limited_wait.Begin();
     }
     if (choice.runner != nullptr && !choice.is_resident) {
-      RequestAdapterLoad(wanted.adapter, choice.runner->entry.id, wanted,
+      RequestAdapterLoad(PendingKey(wanted), choice.runner->entry.id, wanted,
                          TimeToLoad(call, *choice.runner, now), &daemon);
       AssignWaitingLoad(wanted, &daemon, &waiting_load);
     }
@@ -491,6 +501,7 @@
   Log("attempt", {{"id", call.headers.request_id},
                   {"runner", runner},
                   {"start", call.attempt_incarnation},
+                  {"software", call.attempt_software},
                   {"end", AttemptEndName(outcome.end)},
                   {"begun", call.attempt_has_begun ? 1 : 0},
                   {"sends", call.sends},
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -106,6 +106,8 @@
 // Whether the backend server can serve such requests, now or after a pause.
 bool IsEligible(const RunnerView& view, const WantedRunner& wanted, Time now) {
   return view.entry.service == wanted.service && IsListed(view, now) &&
+         (!wanted.software_version ||
+          view.entry.software_version == *wanted.software_version) &&
          (wanted.model.empty() || view.entry.models.contains(wanted.model)) &&
          !(wanted.zones_out != nullptr &&
            wanted.zones_out->contains(view.entry.zone));
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -20,6 +20,7 @@
 #define ROSEMARYHOOK_RUNNER_CHOICE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -121,6 +122,8 @@
   bool has_engine = false;
   std::string failed_home;      // did not load the adapter when requested
   std::set<std::string> tried;  // ids of runners not to be used again
+  // Of a stream that has begun: no other version may go on with it.
+  std::optional<std::string> software_version;
   const std::set<std::string>* zones_out = nullptr;
 };
 
--- a/rosemaryhook/runner_entry.h
+++ b/rosemaryhook/runner_entry.h
@@ -19,7 +19,8 @@
   std::string service;
   std::string address;  // ip:port
   std::string zone;
-  int slots = 1;  // requests that it can run at once
+  std::string software_version;  // of the server, not of its models
+  int slots = 1;                 // requests that it can run at once
   bool is_leaving = false;
   int64_t start_ms = 0;       // on its own clock; identifies the start
   Duration cold_remaining{};  // at the time the entry was written
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -153,6 +153,9 @@
   };
   const std::vector<Case> cases{
       {"i-1", "10.0.0.1:80", "", true},
+      {"i-1", "10.0.0.1:80", R"(,"version":"v1.1")", true},
+      {"i-1", "10.0.0.1:80", R"(,"version":7)", false},
+      {"i-1", "10.0.0.1:80", R"(,"version":null)", false},
       {"i-1", "10.0.0.1:65535", R"(,"slots":128,"born":12.5)", true},
       {"i-1", "10.0.0.1:80", R"(,"extra":)" + nested(20), true},
       {"i-1", "10.0.0.1:80", R"(,"extra":)" + nested(100'000), false},
--- a/rosemaryhook/testing/runner_choice_test.cc
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -58,6 +58,10 @@
        false},
       {"zone out", [](RunnerView* v) { v->entry.zone = "z2"; }, false},
       {"other service", [](RunnerView* v) { v->entry.service = "x"; }, false},
+      {"other software than the stream's",
+       [](RunnerView* v) { v->entry.software_version = "v2"; }, false},
+      {"software unknown",
+       [](RunnerView* v) { v->entry.software_version.clear(); }, false},
       {"without the model", [](RunnerView* v) { v->entry.models.clear(); },
        false},
       {"tried", [](RunnerView* v) { v->entry.id = "tried"; }, false},
@@ -68,12 +72,18 @@
   };
   for (const Case& test : cases) {
     RunnerView view = View("i0");
+    view.entry.software_version = "v1";
     test.change(&view);
     WantedRunner wanted = Wanted("");
+    wanted.software_version = "v1";
     wanted.tried = {"tried"};
     wanted.zones_out = &zones_out;
     BOOST_TEST(IsUsable(view, wanted, At(5)) == test.is_usable, test.what);
   }
+  // What is new may go to any version.
+  RunnerView view = View("i0");
+  view.entry.software_version = "v2";
+  BOOST_TEST(IsUsable(view, Wanted(""), At(5)));
 }
 
 BOOST_AUTO_TEST_CASE(a_holder_is_preferred_and_its_version_counts) {
