Test the versions of streams in virtual time

stream_versions: how long a version counts, at which no stream begins yet, what a host that starts learns, keys, records, what is written and removed, and rows that tell nothing.

--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -559,6 +559,28 @@
   }
 }
 
+// Guards against a read of a neighbouring row and a write to another part.
+BOOST_AUTO_TEST_CASE(rows_of_a_part_are_read_and_written) {
+  BOOST_TEST(RangeTarget(RangeOfRow("streams", "p", "0f")) ==
+             "/v1/rows-get?table=streams&part=p&limit=1&from=0f&to=0f-");
+  BOOST_TEST(RangeTarget({"streams", "p", "", "", 100}) ==
+             "/v1/rows-get?table=streams&part=p&limit=100");
+  const auto batch = nlohmann::json::parse(
+      EncodeBatch({"streams", "p", {{"a", "x"}, {"b", "y"}}, {"c"}}));
+  BOOST_TEST(batch["expect"].empty());
+  BOOST_REQUIRE(batch["put"].size() == 2);
+  BOOST_TEST(batch["put"][1]["key"] == "b");
+  BOOST_TEST(batch["put"][1]["value"] == "eQ==");
+  BOOST_REQUIRE(batch["remove"].size() == 1);
+  BOOST_TEST(batch["remove"][0]["key"] == "c");
+  for (const auto* rows : {&batch["put"], &batch["remove"]}) {
+    for (const auto& row : *rows) {
+      BOOST_TEST(row["table"] == "streams");
+      BOOST_TEST(row["part"] == "p");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -8,7 +8,8 @@
   retries routing runner_choice runner_ownership request_suspects
   runner_ownership_leaving send_pause send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
-  token_limits_restart token_record named_limit task request_framing)
+  token_limits_restart token_record named_limit task request_framing
+  stream_versions)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
