Wait for the versions when streams are taken up after a start

Callers that took streams up at a host that had just started were refused as unknown, though one version served alone.

Cause: a host is ready before it has read the versions from the store, so it did not know that there was one only; the look-up of a row, which is none then, did not ask again whether the versions had been read.

--- a/rosemaryhook/direct_streams.cc
+++ b/rosemaryhook/direct_streams.cc
@@ -150,25 +150,55 @@
   DirectDaemon* daemon_;
 };
 
-awaitable<std::optional<std::string>> LookUpInStore(DirectCall& call) {
-  DirectDaemon& daemon = *call.daemon;
-  if (daemon.streams.look_ups >= kMaxLookUps) {
+// Reads the version of the call's stream from the store.
+awaitable<std::optional<std::string>> ReadVersion(DirectCall& call,
+                                                  Time deadline) {
+  const auto rows =
+      co_await ReadStreamRow(*call.daemon, call.stream_key, deadline);
+  if (Failure(rows) != nullptr) {
     co_return std::nullopt;
   }
-  const ScopedLookUp look_up(&daemon);
+  co_return VersionOfRow(std::get<StoreRows>(rows), call.stream_key);
+}
+
+// Binds the call by this host's memory or by the version that serves alone.
+bool BindByMemory(DirectCall* call) {
+  const DirectDaemon& daemon = *call->daemon;
+  const StreamRecord* record =
+      FindStream(daemon.streams.records, call->stream_key, Now());
+  if (record != nullptr && !record->is_ambiguous) {
+    BindTo(record->version, "memory", call);
+    return true;
+  }
+  const auto version = SingleVersion(daemon, call->service->name, Now());
+  if (version) {
+    BindTo(*version, "single", call);
+  }
+  return version.has_value();
+}
+
+// Binds the call, which waits for a record that may be on its way and, just
+// after a start, for the versions. Returns whether it is bound.
+awaitable<bool> BindInTime(DirectCall& call) {
+  DirectDaemon& daemon = *call.daemon;
   const Time deadline = std::min(call.deadline, Now() + kLookUpTime);
-  while (!call.is_disconnected && Now() < deadline) {
-    const auto rows = co_await ReadStreamRow(daemon, call.stream_key, deadline);
-    if (Failure(rows) == nullptr) {
-      auto version = VersionOfRow(std::get<StoreRows>(rows), call.stream_key);
-      if (version) {
-        co_return version;
+  const ScopedLookUp look_up(&daemon);
+  while (!BindByMemory(&call)) {
+    const bool has_key = !call.stream_key.empty();
+    if (has_key && daemon.streams.look_ups <= kMaxLookUps) {
+      if (const auto version = co_await ReadVersion(call, deadline)) {
+        BindTo(*version, "store", &call);
+        co_return true;
       }
     }
-    co_await Sleep(
-        std::min(kLookUpPause, std::max(deadline - Now(), Duration::zero())));
+    const bool can_learn = has_key || !daemon.streams.is_history_read;
+    if (!can_learn || call.is_disconnected ||
+        Now() + kLookUpPause >= deadline) {
+      co_return false;
+    }
+    co_await Sleep(kLookUpPause);
   }
-  co_return std::nullopt;
+  co_return true;
 }
 
 void LogVersions(const std::string& service, const ServedVersions& versions) {
@@ -370,26 +400,13 @@
     co_return std::nullopt;
   }
   DirectDaemon& daemon = *call.daemon;
-  const std::string& service = call.service->name;
   if (!call.headers.resumes.empty()) {
-    call.stream_key = StreamKey(service, call.customer, call.headers.resumes);
-    const StreamRecord* record =
-        FindStream(daemon.streams.records, call.stream_key, Now());
-    if (record != nullptr && !record->is_ambiguous) {
-      BindTo(record->version, "memory", &call);
-      co_return std::nullopt;
-    }
+    call.stream_key =
+        StreamKey(call.service->name, call.customer, call.headers.resumes);
   }
-  if (const auto version = SingleVersion(daemon, service, Now())) {
-    BindTo(*version, "single", &call);
+  if (co_await BindInTime(call)) {
     co_return std::nullopt;
   }
-  if (!call.stream_key.empty()) {
-    if (const auto version = co_await LookUpInStore(call)) {
-      BindTo(*version, "store", &call);
-      co_return std::nullopt;
-    }
-  }
   daemon.metrics.Count("stream_take_ups_total", "source=\"unknown\"");
   LogBound(call, "unknown");
   co_return MakeDirectRefusal(503, "stream_version_unknown", kMinRetryAfter);
--- a/rosemaryhook/testing/order_process_test.cc
+++ b/rosemaryhook/testing/order_process_test.cc
@@ -378,6 +378,12 @@
                              "/v1/rows-get?table=streams&part=streams&limit=9")
                         .Document();
   BOOST_TEST(rows.at("rows").empty());
+  // Just after a start, when the versions have not been read from the store.
+  site.Fault({{"store_slow_ms", 120}});
+  RestartHosts(&site, kHosts, [] {});
+  const TakeUps after_start = TakeUp(site, streams, 0, kHosts);
+  BOOST_TEST(after_start.complete == kStreams,
+             "complete " << after_start.complete);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
