Broadcast entries that came back after an outage of the store

Cause: a poller leaves the rows of backend servers out of its updates whose entries equal what it knows, since the owners broadcast changes of adapters. Entries that expire in an outage count as listed for their grace period, so one that came back unchanged was left out. The followers' version went past that row, and they removed the server at the end of the grace period. The same happened if the poller saw the removal and the return in one read while another host had applied the removal.

Change: within the grace period after an outage, and for an entry whose removal this host has read, all rows are broadcast.

Ruled out: ids of rows that were left out, so that a follower could see what it lacks. They would be sent for each load of an adapter.

--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -69,12 +69,22 @@
          a.cold_remaining == b.cold_remaining && a.models == b.models;
 }
 
+// The end of the grace period of entries that expired in the newest outage;
+// Time() if there was none.
+Time GraceEnd(const StoreContact& contact) {
+  return contact.recovered == Time() ? Time()
+                                     : contact.recovered + kExpiryTimeout;
+}
+
 // Whether a row of the list contains changes that other hosts do not learn from
-// a runner's owner.
+// a runner's owner. Just after an outage an entry may have come back unchanged
+// whose removal another host has read.
 bool NeedsBroadcast(const StoreRow& row, const DirectDaemon& daemon) {
+  const Time now = Now();
   const auto known = daemon.runners.find(row.key);
   if (row.is_removed || known == daemon.runners.end() ||
-      !IsListed(known->second, Now())) {
+      !IsListed(known->second, now) || known->second.grace_until != Time() ||
+      now < GraceEnd(daemon.runner_contact)) {
     return true;
   }
   const auto entry = platform::ParseRunnerEntry(row.key, row.value);
@@ -307,10 +317,7 @@
                      ReadScope scope,
                      DirectDaemon* daemon) {
   const Time now = Now();
-  const Time grace_until =
-      daemon->runner_contact.recovered == Time()
-          ? Time()
-          : daemon->runner_contact.recovered + kExpiryTimeout;
+  const Time grace_until = GraceEnd(daemon->runner_contact);
   if (scope != ReadScope::kChanges) {
     std::set<std::string> listed;
     for (const StoreRow& row : rows.rows) {
--- a/rosemaryhook/testing/direct_state_test.cc
+++ b/rosemaryhook/testing/direct_state_test.cc
@@ -431,6 +431,64 @@
              1U);
 }
 
+// Guards against hosts that never used backend servers again whose entries had
+// expired in an outage of the store and come back unchanged: the poller left
+// their rows out of its update, since it still listed them itself.
+BOOST_AUTO_TEST_CASE(an_entry_that_came_back_after_an_outage_is_broadcast) {
+  struct Case {
+    std::string what;
+    bool has_seen_removal;
+    double seconds_since_outage;
+    size_t broadcast;
+  };
+  const std::vector<Case> cases{
+      {"removed in a read of this host", true, 1.0, 1},
+      {"removed, after the grace period", true, 2.5, 1},
+      {"removed and back between two reads", false, 1.0, 1},
+      {"unchanged, long after the outage", false, 30.0, 0},
+  };
+  for (const Case& test : cases) {
+    const Time recovered =
+        Now() - Duration(static_cast<int64_t>(test.seconds_since_outage * 1e6));
+    daemon.runners.clear();
+    daemon.runner_contact.recovered = recovered;
+    ApplyRunnerRow(Entry("i-1"), At(1), Time(), &daemon);
+    if (test.has_seen_removal) {
+      ApplyRunnerRow({"i-1", "", 2, true}, recovered,
+                     recovered + std::chrono::milliseconds(2100), &daemon);
+      ExpireRunners(Now(), &daemon);
+    }
+    BOOST_TEST(RowsToBroadcast("servers", 0, {{Entry("i-1")}, 9, false}, daemon)
+                       .size() == test.broadcast,
+               test.what);
+  }
+}
+
+// The same between hosts: one polls, the other one follows by its updates.
+BOOST_AUTO_TEST_CASE(a_follower_uses_an_entry_that_came_back) {
+  constexpr Duration kGrace = std::chrono::milliseconds(2100);
+  WantedRunner wanted;
+  wanted.service = "chat";
+  const Time recovered = Now();
+  DirectDaemon poller(io);
+  poller.runner_contact.recovered = recovered;
+  StoreContact& contact = daemon.runner_contact;
+  contact.version = 7;
+  contact.fresh = recovered;
+  for (DirectDaemon* host : {&poller, &daemon}) {
+    ApplyRunnerRow(Entry("i-1"), At(1), Time(), host);
+    ApplyRunnerRow({"i-1", "", 7, true}, recovered, recovered + kGrace, host);
+  }
+  const StoreRow back = Versioned(Entry("i-1"), 8);
+  ApplyListUpdate(
+      Update(7, 8, RowsToBroadcast("servers", 7, {{back}, 8, false}, poller)),
+      recovered, &daemon);
+  ExpireRunners(recovered + 2 * kGrace, &daemon);
+  BOOST_TEST(contact.version == 8);
+  BOOST_TEST(
+      IsUsable(daemon.runners.at("i-1"), wanted, recovered + 2 * kGrace));
+}
+
 // Guards against a host that never learned of a backend server's restart: the
 // first poller's update was lost, and the second poller, which had applied it
 // while its own read was on its way, left the row out of its update.
