Limit the memory of daemons in tests in one way

The option of Site takes the place of LimitMemory, which set the limit after the start, and IsRunning of processes.h that of two local ones. The checks are unchanged.

--- a/rosemaryhook/testing/ended_processes_process_test.cc
+++ b/rosemaryhook/testing/ended_processes_process_test.cc
@@ -22,15 +22,9 @@
 
 using asio::ip::udp;
 
-bool IsRunning(const Process& process) {
-  siginfo_t info{};
-  return waitid(P_PID, process.pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
-         info.si_pid == 0;
-}
-
 // Starts `process` again if it has ended; returns whether it was running.
 bool RestartIfEnded(Site& site, Process& process) {
-  if (IsRunning(process)) {
+  if (IsRunning(process.pid)) {
     return true;
   }
   site.AwaitExit(process);
@@ -258,9 +252,9 @@
       kill(daemon.process().pid, signal);
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    BOOST_TEST(IsRunning(daemon.process()), strsignal(signal)
-                                                << " while settings are read");
-    if (!IsRunning(daemon.process())) {
+    BOOST_TEST(IsRunning(daemon.process().pid),
+               strsignal(signal) << " while settings are read");
+    if (!IsRunning(daemon.process().pid)) {
       continue;
     }
     // Later reads are those of a file.
@@ -272,8 +266,8 @@
                                                     << " during the start");
     kill(daemon.process().pid, signal);
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    BOOST_TEST(IsRunning(daemon.process()), strsignal(signal)
-                                                << " after the start");
+    BOOST_TEST(IsRunning(daemon.process().pid), strsignal(signal)
+                                                    << " after the start");
   }
 }
 
@@ -289,7 +283,7 @@
         io, std::get<tcp::endpoint>(ParseAddress(daemon.Address(offset))));
     daemon.Start();
     std::this_thread::sleep_for(std::chrono::seconds(2));
-    BOOST_TEST(IsRunning(daemon.process()), "port " << offset);
+    BOOST_TEST(IsRunning(daemon.process().pid), "port " << offset);
     holder.reset();
     BOOST_TEST(daemon.AwaitReady(kStartLimitS), "port " << offset);
   }
@@ -301,7 +295,7 @@
       io, udp::endpoint(peers.address(), peers.port()));
   daemon.Start();
   std::this_thread::sleep_for(std::chrono::seconds(2));
-  BOOST_TEST(IsRunning(daemon.process()));
+  BOOST_TEST(IsRunning(daemon.process().pid));
   // A host that waits for its ports can be stopped.
   kill(daemon.process().pid, SIGTERM);
   BOOST_TEST(WaitFor(std::exchange(daemon.process().pid, 0)) == 0);
@@ -336,7 +330,7 @@
     BOOST_TEST(serve(daemon) == 400, "unread");
     close(reader);
     BOOST_TEST(serve(daemon) == 400, "without its reader");
-    BOOST_TEST(IsRunning(daemon.process()));
+    BOOST_TEST(IsRunning(daemon.process().pid));
   }
   for (const char* closed : {"exec >&-; ", "exec <&- >&- 2>&-; "}) {
     LoneDaemon daemon(30500);
@@ -344,7 +338,7 @@
     daemon.StartAfter(closed);
     BOOST_TEST(daemon.AwaitReady(kStartLimitS), closed);
     BOOST_TEST(serve(daemon) == 400, closed);
-    BOOST_TEST(IsRunning(daemon.process()), closed);
+    BOOST_TEST(IsRunning(daemon.process().pid), closed);
   }
 }
 
@@ -366,7 +360,7 @@
     const int64_t before = CpuTicks(daemon.process());
     std::this_thread::sleep_for(std::chrono::seconds(2));
     BOOST_TEST(CpuTicks(daemon.process()) - before < kMaxIdleTicks);
-    BOOST_TEST(IsRunning(daemon.process()));
+    BOOST_TEST(IsRunning(daemon.process().pid));
   }
   BOOST_TEST(daemon.AwaitReady(kStartLimitS));
   BOOST_TEST(Await(kStartLimitS, [&] {
@@ -386,7 +380,7 @@
   daemon.WriteSettings();
   daemon.Start();
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
-  BOOST_TEST(IsRunning(daemon.process()), "no store");
+  BOOST_TEST(IsRunning(daemon.process().pid), "no store");
   const std::vector<std::string> answers{
       MakeAnswer("503 Unavailable", "", ""),
       MakeAnswer("429 Too Many", "Retry-After: 1e300\r\n", "{}"),
@@ -406,11 +400,11 @@
       return ScriptedServer::Answer{answer};
     });
     std::this_thread::sleep_for(std::chrono::milliseconds(600));
-    BOOST_TEST(IsRunning(daemon.process()), answer.substr(0, 80));
+    BOOST_TEST(IsRunning(daemon.process().pid), answer.substr(0, 80));
   }
   const Site site({.port = 30700, .hosts = 0});
   BOOST_TEST(daemon.AwaitReady(kStartLimitS));
-  BOOST_TEST(IsRunning(daemon.process()));
+  BOOST_TEST(IsRunning(daemon.process().pid));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/rosemaryhook/testing/endless_callers_process_test.cc
+++ b/rosemaryhook/testing/endless_callers_process_test.cc
@@ -1,7 +1,6 @@
 // Tests of callers that send more than a host can keep, with a real daemon
 // whose memory is limited. The requests of other callers must go on.
 #include <fmt/core.h>
-#include <signal.h>
 
 #include <atomic>
 #include <boost/asio.hpp>
@@ -49,12 +48,6 @@
   }
 }
 
-bool IsRunning(const Process& process) {
-  return kill(process.pid, 0) == 0 &&
-         ReadAll(fmt::format("/proc/{}/stat", process.pid)).find(") Z ") ==
-             std::string::npos;
-}
-
 struct Counts {
   int served = 0;
   int failed = 0;
@@ -107,8 +100,10 @@
       {std::string(kHead) + "Content-Length: 600000000\r\n\r\n", "d"},
       {std::string(kHead) + "x-a: ", "a"},
   };
-  Site site({.port = 29000, .hosts = 1, .services = 2});
-  BOOST_REQUIRE(LimitMemory(site.host(0).pid, kHostBytes));
+  Site site({.port = 29000,
+             .hosts = 1,
+             .services = 2,
+             .address_space_mb = static_cast<int>(kHostBytes >> 20)});
   std::atomic<bool> is_done = false;
   auto others = Async([&] { return SendLookups(site, "look", 100, is_done); });
   for (const auto& form : forms) {
@@ -122,8 +117,9 @@
     for (std::thread& caller : callers) {
       caller.join();
     }
-    BOOST_TEST(IsRunning(site.host(0)), form.first.substr(sizeof(kHead) - 1) +
-                                            form.second.substr(0, 20));
+    BOOST_TEST(
+        IsRunning(site.host(0).pid),
+        form.first.substr(sizeof(kHead) - 1) + form.second.substr(0, 20));
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   is_done = true;
@@ -157,7 +153,7 @@
     asio::write(slow.back(), asio::buffer(body), ec);
   }
   std::this_thread::sleep_for(std::chrono::seconds(1));
-  BOOST_TEST(IsRunning(site.host(0)));
+  BOOST_TEST(IsRunning(site.host(0).pid));
   BOOST_TEST(PeakBytes(site.host(0)) < kHostBytes);
   is_done = true;
   for (auto* others : {&short_ones, &long_ones}) {
--- a/rosemaryhook/testing/processes.cc
+++ b/rosemaryhook/testing/processes.cc
@@ -4,7 +4,6 @@
 #include <fmt/core.h>
 #include <signal.h>
 #include <spawn.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -60,11 +59,6 @@
   return pid;
 }
 
-bool LimitMemory(pid_t pid, size_t bytes) {
-  const rlimit limit{bytes, bytes};
-  return prlimit(pid, RLIMIT_AS, &limit, nullptr) == 0;
-}
-
 std::vector<std::string> WithAddressSpace(int mb,
                                           std::vector<std::string> command) {
   if (mb <= 0) {
--- a/rosemaryhook/testing/processes.h
+++ b/rosemaryhook/testing/processes.h
@@ -38,9 +38,6 @@
             const std::string& out,
             const std::string& err);
 
-// Bounds the address space of a process from now on. Returns false on failure.
-bool LimitMemory(pid_t pid, size_t bytes);
-
 // The command that runs `command` with an address space of at most `mb`
 // megabytes (setrlimit, RLIMIT_AS); 0 for no limit.
 std::vector<std::string> WithAddressSpace(int mb,
