Tell of callers that close while the scripted server writes

run_once/a_runner_is_left_before_another_one_goes_on failed 2 checks in one run, on a refusal of 1 MB of which 100 KB come: the host closes its connection after 16 KB since refusals are read in part, so that the server's write fails, and the server called on_closed_by_caller only when a read failed. The host had left in time; the checks are unchanged.

--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -77,6 +77,9 @@
       std::this_thread::sleep_for(kLateLead);
     }
     asio::write(*socket, asio::buffer(answer.bytes), ec);
+    if (ec && on_closed_by_caller) {
+      on_closed_by_caller();
+    }
     if (!answer.endless.empty()) {
       WriteEndless(answer, is_ending_, socket, &ec);
       socket->shutdown(tcp::socket::shutdown_both, ec);
