Add tests of copied refusals of requests that are sent again

Scripted servers refuse every request once and write copies of the refusal just before their next answer on that connection; the caller sends the refused request again under its id.

--- a/rosemaryhook/testing/late_refusals_process_test.cc
+++ b/rosemaryhook/testing/late_refusals_process_test.cc
@@ -14,6 +14,116 @@
 namespace rosemaryhook::testing {
 namespace {
 
+// Two booking servers and two runners before one host. Each of them refuses
+// every request once, and writes bytes just before its next answer on the
+// connection of the refusal.
+class RefusingServers {
+ public:
+  // Makes the refusal of the request with this id.
+  using Refusal = std::function<std::string(const std::string& id)>;
+  // Makes what is written late from a refusal.
+  using Late = std::function<std::string(const std::string& refusal)>;
+
+  explicit RefusingServers(int port)
+      : site_({.port = port, .hosts = 1, .runners = 0, .services = 0}) {
+    const Json held = Json::array(
+        {{{"name", "base"}, {"version", 1}, {"adapters", {"a1@1"}}}});
+    for (int i = 0; i < 4; ++i) {
+      servers_.push_back(std::make_unique<ScriptedServer>(
+          site_.Backend(i), [this, i](const auto& r) { return Answer(i, r); }));
+      Json entry = ServerEntry(i < 2 ? "booking" : "chat", site_.Backend(i));
+      if (i >= 2) {
+        entry["models"] = held;
+      }
+      site_.Set("servers", "i-refusing-" + std::to_string(i), entry);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+  }
+
+  Refusal refusal;
+  Late late;
+
+  // Sends one request that may run once, and again under its id as long as it
+  // is refused.
+  void Check(const std::string& id, bool is_stream) {
+    for (int i = 0; i < kMaxSends && CheckSend(id, is_stream); ++i) {
+    }
+  }
+
+  // Sends the request once and checks that its outcome is true. Returns whether
+  // it was refused.
+  bool CheckSend(const std::string& id, bool is_stream) {
+    const Reply reply = is_stream ? site_.Ask(0, id, "a1") : site_.Book(0, id);
+    const bool is_promise = reply.status == 503 || reply.status == 429 ||
+                            reply.status == 421 || reply.status == 408;
+    const std::string what = id + " got " + std::to_string(reply.status);
+    BOOST_TEST(ledger_.Runs(id) <= 1, what);
+    BOOST_TEST((!is_promise || ledger_.Runs(id) == 0), what);
+    if (reply.status == 200) {
+      ++served;
+      BOOST_TEST(reply.Header("X-Server-Stamp") == "stamp-" + id, what);
+    }
+    return is_promise && ledger_.Runs(id) == 0;
+  }
+
+  // Gives the booking servers new ids at their old addresses.
+  void Rename(int generation) {
+    for (int i = 0; i < 2; ++i) {
+      const std::string number = std::to_string(i);
+      site_.Unset("servers", "i-refusing-" + number);
+      site_.Unset("servers",
+                  "i-renamed-" + number + "-" + std::to_string(generation - 1));
+      site_.Set("servers",
+                "i-renamed-" + number + "-" + std::to_string(generation),
+                ServerEntry("booking", site_.Backend(i)));
+    }
+    const std::string last = "i-renamed-1-" + std::to_string(generation);
+    BOOST_REQUIRE(Await(10, [&] {
+      return site_.LogOf(0).find("id=" + last) != std::string::npos;
+    }));
+  }
+
+  int served = 0;
+
+ private:
+  static constexpr int kMaxSends = 4;
+
+  ScriptedServer::Answer Answer(int server, const ScriptedRequest& request) {
+    const std::string id(request["X-Attempt-Id"]);
+    if (id.empty()) {  // a host asks for a report
+      return {MakeAnswer("404 Not Found", "", "")};
+    }
+    {
+      const std::scoped_lock lock(mutex_);
+      if (refused_.insert({server, id}).second) {
+        const std::string bytes = refusal(id);
+        return {bytes, false, false, late(bytes)};
+      }
+    }
+    ledger_.Add(id);
+    const bool is_stream = request.target().starts_with("/chat/");
+    return {
+        MakeAnswer("200 OK",
+                   IdHeaders(id) +
+                       (is_stream ? "Content-Type: text/event-stream\r\n" : ""),
+                   is_stream ? "id: 1\ndata: one\n\n" : "ok")};
+  }
+
+  Site site_;
+  RunLedger ledger_;
+  std::mutex mutex_;
+  std::set<std::pair<int, std::string>> refused_;
+  std::vector<std::unique_ptr<ScriptedServer>> servers_;
+};
+
+RefusingServers::Refusal MarkedRefusal(const std::string& status,
+                                       const std::string& headers) {
+  return [=](const std::string& id) {
+    return MakeAnswer(
+        status, "X-Not-Run: 1\r\nX-Attempt-Id: " + id + "\r\n" + headers, "");
+  };
+}
+
 BOOST_AUTO_TEST_SUITE(late_refusals)
 
 // Guards against bookings that ran twice, or were refused though they ran: a
@@ -133,6 +243,74 @@
   BOOST_TEST(served > 0);
 }
 
+// Guards against requests that ran twice, or were refused though they ran: the
+// caller sent a refused request again under its id, and a copy of the refusal
+// was taken for the answer.
+BOOST_AUTO_TEST_CASE(a_late_copy_does_not_answer_the_request_sent_again) {
+  constexpr int kRequests = 5;  // of each kind for each form
+  RefusingServers servers(15000);
+  const std::vector<RefusingServers::Refusal> refusals{
+      MarkedRefusal("503 Service Unavailable", ""),
+      MarkedRefusal("429 Too Many Requests", ""),
+      MarkedRefusal("421 Misdirected Request", "X-Instance-Id: i-other\r\n"),
+      MarkedRefusal("400 Bad Request", ""),
+      MarkedRefusal("503 Service Unavailable", "Server-Limit: 50\r\n"),
+  };
+  const std::vector<RefusingServers::Late> copies{
+      [](const std::string& refusal) { return refusal; },
+      [](const std::string& refusal) { return refusal + refusal; },
+      [](const std::string& refusal) {
+        return "HTTP/1.1 100 Continue\r\n\r\n" + refusal;
+      },
+      [](const std::string& refusal) {
+        return MakeAnswer("200 OK", IdHeaders("other"), "other") + refusal;
+      },
+  };
+  for (size_t r = 0; r < refusals.size(); ++r) {
+    for (size_t c = 0; c < copies.size(); ++c) {
+      servers.refusal = refusals[r];
+      servers.late = copies[c];
+      for (int i = 0; i < kRequests; ++i) {
+        const std::string id = std::to_string(r) + "-" + std::to_string(c) +
+                               "-" + std::to_string(i);
+        servers.Check("book-" + id, false);
+        servers.Check("chat-" + id, true);
+      }
+    }
+  }
+  const size_t sent = 2 * kRequests * refusals.size() * copies.size();
+  BOOST_TEST(servers.served > static_cast<int>(sent) / 2);
+}
+
+// The same with a copy that is cut at any byte.
+BOOST_AUTO_TEST_CASE(a_copy_cut_at_any_byte_does_not_answer_a_repeat) {
+  RefusingServers servers(15100);
+  servers.refusal = MarkedRefusal("503 Service Unavailable", "");
+  const std::string example = servers.refusal("cut-100");
+  for (size_t cut = 1; cut <= example.size(); ++cut) {
+    servers.late = [cut](const std::string& refusal) {
+      return refusal.substr(0, cut);
+    };
+    servers.Check("cut-" + std::to_string(cut), false);
+  }
+  BOOST_TEST(servers.served > static_cast<int>(example.size()) / 2);
+}
+
+// The same where the process at the address has another id meanwhile.
+BOOST_AUTO_TEST_CASE(a_copy_does_not_answer_a_repeat_under_another_server_id) {
+  constexpr int kRenames = 6;
+  RefusingServers servers(15200);
+  servers.refusal = MarkedRefusal("503 Service Unavailable", "");
+  servers.late = [](const std::string& refusal) { return refusal; };
+  for (int generation = 1; generation <= kRenames; ++generation) {
+    const std::string id = "renamed-" + std::to_string(generation);
+    BOOST_TEST(servers.CheckSend(id, false));
+    servers.Rename(generation);
+    servers.Check(id, false);
+  }
+  BOOST_TEST(servers.served > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
