Log whether a connection has carried a request's id before

A copied refusal and an honest second one had the same attempt line. Connections remember (hashes of) the ids of their requests, and attempt lines say repeated_id=1 where the id was there before.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -193,6 +193,7 @@
   http.body = call.request.body;
   http.deadline = call.deadline;
   http.connect_timeout = kConnectTimeout;
+  http.request_id = call.headers.request_id;
   http.fresh_connection = call.refused_by.contains(view.entry.id);
   http.may_send = [&call, &daemon, id = view.entry.id] {
     return MaySend(daemon, id, call);
@@ -576,6 +577,7 @@
   outcome.is_excessive = exchange.is_excessive();
   outcome.bytes = exchange.bytes();
   outcome.earlier_answers = exchange.earlier_answers();
+  outcome.has_repeated_id = exchange.has_repeated_id();
   outcome.connection_end = exchange.connection_end();
   call.sends += exchange.may_have_reached() ? 1 : 0;
   call.runs += outcome.end == AttemptEnd::kNotRun ? 0 : 1;
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -90,6 +90,7 @@
   // Of the connection that was used.
   bool is_new_connection = false;
   int earlier_answers = 0;
+  bool has_repeated_id = false;  // it had carried a request of the same id
   ConnectionEnd connection_end = ConnectionEnd::kClosed;
   // The end of the connection is the only end that the answer has, so that it
   // may not be complete.
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -156,6 +156,8 @@
   Time deadline;                // for the whole exchange
   Duration progress_timeout{};  // without progress, 0 for none but the deadline
   bool fresh_connection = false;  // does not reuse an idle connection
+  // The id that the peer repeats in its answer; empty if it has none.
+  std::string request_id;
   Duration connect_timeout = std::chrono::seconds(2);
   // Resets the connection when it is closed, so that a request that the network
   // holds up is lost with its exchange instead of arriving late.
@@ -185,7 +187,8 @@
     std::shared_ptr<beast::tcp_stream> stream;
     Time kept_since;  // end of its last exchange
     Time expires;
-    int answers = 0;  // that it has delivered
+    int answers = 0;                  // that it has delivered
+    std::vector<size_t> request_ids;  // hashes of those that it has carried
   };
   std::map<std::string, std::vector<Idle>> idle;
   uint64_t opened = 0;     // connections opened
@@ -262,6 +265,10 @@
   // Answers that the connection had delivered to earlier requests.
   int earlier_answers() const { return earlier_answers_; }
 
+  // Whether the connection had carried a request of the same id before. Then
+  // the id in an answer does not tell whether the answer is this request's.
+  bool has_repeated_id() const { return has_repeated_id_; }
+
   // Closes the connection. An operation in progress ends with an error.
   void Cancel();
 
@@ -270,6 +277,8 @@
  private:
   awaitable<Result<Done>> Connect();
   awaitable<Result<Done>> SendRequest();
+  // Records that the connection carries a request of this id.
+  void RecordRequestId();
   awaitable<beast::error_code> ParseHead();
   // The next head, also one with status 1xx.
   awaitable<Result<HttpHead>> ReadAnyHead();
@@ -304,6 +313,8 @@
   bool is_reusable_ = true;
   bool reused_ = false;
   int earlier_answers_ = 0;
+  std::vector<size_t> request_ids_;  // as in HttpPool::Idle
+  bool has_repeated_id_ = false;
   bool is_refused_ = false;
   bool is_closed_by_peer_ = false;
   bool is_kept_ = false;
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -93,6 +93,15 @@
   return ec == http::error::buffer_overflow || ec == http::error::header_limit;
 }
 
+size_t HashOfId(const std::string& request_id) {
+  return std::hash<std::string>()(request_id);
+}
+
+bool HasCarried(const std::vector<size_t>& request_ids, size_t id) {
+  return std::find(request_ids.begin(), request_ids.end(), id) !=
+         request_ids.end();
+}
+
 // Returns an idle connection that is still open; its `stream` is null if there
 // is none.
 HttpPool::Idle PopIdleConnection(HttpPool* pool, const std::string& address) {
@@ -215,6 +224,15 @@
   co_return Done{};
 }
 
+void HttpExchange::RecordRequestId() {
+  if (call_.request_id.empty()) {
+    return;
+  }
+  const size_t id = HashOfId(call_.request_id);
+  has_repeated_id_ = HasCarried(request_ids_, id);
+  request_ids_.push_back(id);
+}
+
 awaitable<Result<Done>> HttpExchange::SendRequest() {
   upload_ = std::make_shared<HttpUpload>();
   upload_->stream = stream_;
@@ -238,6 +256,7 @@
   }
   may_have_reached_ = true;
   sent_ = Now();
+  RecordRequestId();
   if (request.body().size() > kMaxInlineBodyBytes) {
     asio::co_spawn(stream_->get_executor(), Upload(upload_), asio::detached);
     co_return Done{};
@@ -338,6 +357,7 @@
     HttpPool::Idle idle = PopIdleConnection(pool_, call_.address);
     stream_ = std::move(idle.stream);
     earlier_answers_ = idle.answers;
+    request_ids_ = std::move(idle.request_ids);
   }
   reused_ = stream_ != nullptr;
   if (!stream_) {
@@ -436,8 +456,8 @@
   if (idle.size() < kMaxIdlePerAddress) {
     stream_->expires_never();
     const Time now = Now();
-    idle.push_back(
-        {std::move(stream_), now, now + idle_timeout_, earlier_answers_ + 1});
+    idle.push_back({std::move(stream_), now, now + idle_timeout_,
+                    earlier_answers_ + 1, std::move(request_ids_)});
     is_kept_ = true;
   }
 }
