Add a failing test of hosts that lose their paths to servers

Four hosts with loopback addresses of their own and eight servers in the test's process, which drop all packets from one host (a socket filter, so that connections hang as behind a partition). For that, hosts can open connections from a set address (source_address).

Logs: the attempt lines of a cut host end with connect timeouts, new connections only.

--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -278,6 +278,10 @@
   daemon->session = settings.host + "-" + RandomId().substr(0, 8);
   daemon->started = now;
   daemon->store = {&daemon->pool, settings.table};
+  if (!settings.source_address.empty()) {
+    daemon->pool.source = asio::ip::make_address(settings.source_address);
+    daemon->control_pool.source = daemon->pool.source;
+  }
   daemon->tokens.started = now;
   daemon->ownership.session = daemon->session;
   daemon->ownership.address = settings.peers;
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -192,6 +192,7 @@
     std::vector<size_t> request_ids;  // hashes of those that it has carried
   };
   std::map<std::string, std::vector<Idle>> idle;
+  asio::ip::address source;  // of connections, unless it is unspecified
   uint64_t opened = 0;     // connections opened
   uint64_t reused = 0;     // exchanges on a reused connection
   uint64_t discarded = 0;  // connections closed since another was silent
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -7,6 +7,7 @@
 // A late copy of an answer has the id of its request. It is told from the
 // answer to the same request when that is sent again, since no connection
 // carries two requests of one id.
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <algorithm>
@@ -74,6 +75,21 @@
   set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+// Returns whether the socket may be used.
+bool BindSource(const asio::ip::address& source, tcp::socket* socket) {
+  if (source.is_unspecified()) {
+    return true;
+  }
+  beast::error_code ec;
+  socket->open(source.is_v4() ? tcp::v4() : tcp::v6(), ec);
+  const int on = 1;
+  // The port is chosen for each peer, so that ports do not run out.
+  setsockopt(socket->native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on,
+             sizeof on);
+  socket->bind(tcp::endpoint(source, 0), ec);
+  return !ec;
+}
+
 // Whether a pooled connection is still open with nothing to read. Data or an
 // end of file means that it cannot be reused.
 bool IsOpenAndIdle(tcp::socket* socket) {
@@ -225,6 +241,10 @@
   }
   stream_ =
       std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
+  if (!BindSource(pool_->source, &stream_->socket())) {
+    co_return Error{Step::kConnect, pool_->source.to_string(),
+                    "cannot use the source address"};
+  }
   stream_->expires_after(
       std::clamp(call_.deadline - Now(), Duration(1), call_.connect_timeout));
   auto [ec] = co_await stream_->async_connect(std::get<tcp::endpoint>(endpoint),
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -158,6 +158,13 @@
          return mode.has_value();
        }},
       {"readiness", kAddress, false, SetAddress(&Settings::readiness)},
+      {"source_address", "an IP address", false,
+       [](const std::string& text, Settings* settings) {
+         settings->source_address = text;
+         beast::error_code ec;
+         asio::ip::make_address(text, ec);
+         return !ec;
+       }},
       PlatformField("order_lease_ms", "milliseconds from 0 to 60000", 0, 60000,
                     [](double value, Settings* settings) {
                       settings->order_lease = MillisOf(value);
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -30,6 +30,8 @@
   std::string peers;      // ip:port for the other hosts
   std::string operators;  // ip:port for operators
   std::string table;      // ip:port of the platform's table or store
+  // IP address of connections that this host opens; empty: the system's choice.
+  std::string source_address;
   size_t body_bytes = 1 << 20;
   size_t memory_mb = 0;  // that the process may use; 0 if it is not known
   Duration header_timeout = std::chrono::seconds(10);
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -1,5 +1,9 @@
 #include "rosemaryhook/testing/scripted_server.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <variant>
 
 namespace rosemaryhook::testing {
@@ -8,6 +12,27 @@
 // What is late is read before the answer itself arrives.
 constexpr auto kLateLead = std::chrono::milliseconds(20);
 
+// Drops what arrives from `source` (an IPv4 address) at a socket, before TCP
+// sees it.
+void SetDropFilter(int fd, const std::optional<std::string>& source) {
+  if (!source) {
+    const int unused = 0;
+    setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+    return;
+  }
+  constexpr uint32_t kSourceOffset = 12;  // in the IP header
+  std::array<sock_filter, 4> code{{
+      BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+               static_cast<uint32_t>(SKF_NET_OFF) + kSourceOffset),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
+               asio::ip::make_address_v4(*source).to_uint(), 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
+  }};
+  const sock_fprog program{code.size(), code.data()};
+  setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 void WriteEndless(const ScriptedServer::Answer& answer,
                   const std::atomic<bool>& is_ending,
                   tcp::socket* socket,
@@ -43,12 +68,36 @@
   }
 }
 
+void ScriptedServer::Drop(const std::optional<std::string>& source) {
+  const std::scoped_lock lock(sockets_mutex_);
+  // Sockets that are accepted later inherit the filter.
+  SetDropFilter(acceptor_.native_handle(), source);
+  for (const auto& socket : sockets_) {
+    SetDropFilter(socket->native_handle(), source);
+  }
+}
+
+void ScriptedServer::Reset(const std::string& source) {
+  const std::scoped_lock lock(sockets_mutex_);
+  beast::error_code ec;
+  for (const auto& socket : sockets_) {
+    if (socket->remote_endpoint(ec).address().to_string() == source) {
+      // The thread that serves the connection sees its end.
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(socket->native_handle(), SOL_SOCKET, SO_LINGER, &reset,
+                 sizeof reset);
+      socket->shutdown(tcp::socket::shutdown_both, ec);
+    }
+  }
+}
+
 void ScriptedServer::Accept() {
   while (!is_ending_) {
     auto socket = std::make_shared<tcp::socket>(io_);
     beast::error_code ec;
     acceptor_.accept(*socket, ec);
     if (!ec) {
+      const std::scoped_lock lock(sockets_mutex_);
       sockets_.push_back(socket);
       connections_.emplace_back([this, socket] { Serve(socket.get()); });
     }
--- a/rosemaryhook/testing/scripted_server.h
+++ b/rosemaryhook/testing/scripted_server.h
@@ -12,6 +12,8 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,6 +54,13 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
+  // Drops all packets that arrive from this IPv4 address, as behind a silent
+  // network partition; nullopt ends that.
+  void Drop(const std::optional<std::string>& source);
+
+  // Resets the connections from this address.
+  void Reset(const std::string& source);
+
  private:
   void Accept();
   void Serve(tcp::socket* socket);
@@ -60,6 +69,7 @@
   tcp::acceptor acceptor_;
   Handler handler_;
   std::atomic<bool> is_ending_ = false;
+  std::mutex sockets_mutex_;
   std::vector<std::shared_ptr<tcp::socket>> sockets_;
   std::vector<std::thread> connections_;
   std::thread thread_;
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -93,14 +93,29 @@
   return fmt::format("127.0.0.1:{}", options_.port + offset);
 }
 
+std::string Site::HostIp(int i) const {
+  return options_.has_host_addresses ? fmt::format("127.0.0.{}", 2 + i)
+                                     : "127.0.0.1";
+}
+
+std::string Site::HostAddress(int host, int offset) const {
+  return fmt::format("{}:{}", HostIp(host), options_.port + offset);
+}
+
 std::string Site::Settings(int host) const {
-  return fmt::format(
-      "host: entry-{}\nzone: zone-{}\nserving: direct\ncallers: {}\n"
-      "readiness: {}\npeers: {}\noperators: {}\ntable: {}\n"
-      "heartbeat_ms: 500\ndrain_limit_ms: 8000\norder_lease_ms: {}\n",
-      host, host % 2, Callers(host), Readiness(host), Address(50 + host),
-      Operators(host), options_.is_proxied ? StoreProxy(host) : Store(),
-      options_.lease_ms);
+  const std::string source =
+      options_.has_host_addresses
+          ? fmt::format("source_address: {}\n", HostIp(host))
+          : "";
+  return source +
+         fmt::format(
+             "host: entry-{}\nzone: zone-{}\nserving: direct\ncallers: {}\n"
+             "readiness: {}\npeers: {}\noperators: {}\ntable: {}\n"
+             "heartbeat_ms: 500\ndrain_limit_ms: 8000\norder_lease_ms: {}\n",
+             host, host % 2, Callers(host), Readiness(host),
+             HostAddress(host, 50 + host), Operators(host),
+             options_.is_proxied ? StoreProxy(host) : Store(),
+             options_.lease_ms);
 }
 
 void Site::Launch(const std::string& name,
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -37,6 +37,9 @@
   // BackendProxy, where the test must run a proxy.
   bool is_proxied = false;
   int address_space_mb = 0;  // of each host; 0: no limit
+  // Each host has a loopback address of its own, 127.0.0.2 and up, from which
+  // its connections come.
+  bool has_host_addresses = false;
 };
 
 class Site {
@@ -47,9 +50,10 @@
   Site& operator=(const Site&) = delete;
 
   Process& host(int i) { return hosts_.at(i); }
-  std::string Callers(int i) const { return Address(30 + i); }
-  std::string Readiness(int i) const { return Address(40 + i); }
-  std::string Operators(int i) const { return Address(60 + i); }
+  std::string Callers(int i) const { return HostAddress(i, 30 + i); }
+  std::string Readiness(int i) const { return HostAddress(i, 40 + i); }
+  std::string Operators(int i) const { return HostAddress(i, 60 + i); }
+  std::string HostIp(int i) const;
   std::string Backend(int i) const { return Address(1 + i); }  // runners first
   std::string Store() const { return Address(0); }
   std::string StoreProxy(int host) const { return Address(20 + host); }
@@ -103,6 +107,7 @@
 
  private:
   std::string Address(int offset) const;
+  std::string HostAddress(int host, int offset) const;
   std::string Settings(int host) const;
 
   SiteOptions options_;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -32,7 +32,7 @@
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
-  crashing_requests retry_storm repeat_rules order)
+  crashing_requests retry_storm repeat_rules order lost_paths)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -146,7 +146,9 @@
   order/a_take_up_keeps_its_version_after_all_hosts_were_killed
   order/a_take_up_is_refused_once_its_version_is_gone
   order/a_take_up_without_a_record_is_refused
-  order/one_version_alone_asks_nothing)
+  order/one_version_alone_asks_nothing
+  lost_paths/callers_of_a_cut_host_are_served_like_the_others
+  lost_paths/paths_that_come_and_go_run_no_request_twice)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
