Reach servers through other hosts where the own path is lost

Cause: a host sent to a server itself or not at all, and learnt a dead path by one request at a time, for each server apart.

Change: a host whose connection to a server fails asks another one for a tunnel (HTTP CONNECT at the operators' address), and keeps all decisions: the bytes pass as they are, so what an answer, a break or a disconnect proves is unchanged. Three servers that fail while none answers mean that all own paths are lost. Lost paths are tried again in the background, three at a time. Only hosts with a live session, from its machine, to listed servers, never through a further host; 400 tunnels at most.

The same cause elsewhere: refused connections counted as crashes of servers (now another host has to agree); owners without a path went on ordering and were chosen for loads (now they say so, and other homes are chosen).

Ruled out: handing the request to another host, which would have to share limits, repeats, deadlines and records of streams; orders through another host, which count as a second holder.

Conclusion: works because a path is a fact of a pair, not of the server.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "rosemaryhook/direct_orders.h"
+#include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/task.h"
@@ -66,6 +67,7 @@
       (!daemon->runner_contact.is_lost &&
        Now() - daemon->runner_contact.fresh < kStoreReachableWindow);
   const Time now = Now();
+  message.is_cut_off = IsCutOff(daemon->reach, now);
   daemon->message_times[message.number] = now;
   while (now - daemon->message_times.begin()->second > kMessageTimeRetention) {
     daemon->message_times.erase(daemon->message_times.begin());
@@ -176,8 +178,14 @@
                     DirectDaemon* daemon,
                     PeerMessage* message) {
   const auto owned = daemon->owned.find(id);
-  if (owned != daemon->owned.end() && owned->second->plan.is_synced &&
-      MayOrder(daemon->ownership, id, Now())) {
+  if (owned == daemon->owned.end() || !owned->second->plan.is_synced ||
+      !MayOrder(daemon->ownership, id, Now())) {
+    return;
+  }
+  const auto view = daemon->runners.find(id);
+  if (view != daemon->runners.end() && !HasOwnPath(*daemon, view->second)) {
+    message->unreached.insert(id);
+  } else {
     message->owned[id] = UsableAdapters(owned->second->plan);
   }
 }
@@ -243,7 +251,8 @@
 bool IsEmpty(const PeerMessage& message) {
   return message.loads.empty() && message.limits.empty() &&
          message.tokens_used.empty() && message.totals.empty() &&
-         message.owned.empty() && message.parts.empty();
+         message.owned.empty() && message.unreached.empty() &&
+         message.parts.empty();
 }
 
 void SendToAll(const PeerMessage& message, DirectDaemon* daemon) {
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -16,6 +16,7 @@
 #include "rosemaryhook/answer_match.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_orders.h"
+#include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/direct_streams.h"
@@ -39,6 +40,9 @@
 constexpr uint64_t kMaxRefusalBytes = 16 << 10;
 constexpr Duration kMaxRefusalReadTime = std::chrono::milliseconds(50);
 
+// Ways on which one attempt tries to reach its server.
+constexpr int kMaxPaths = 3;
+
 // Answers to other requests that are skipped on one connection.
 constexpr int kMaxSkippedAnswers = 3;
 
@@ -170,7 +174,9 @@
          !daemon.zones_out.contains(view->second.entry.zone);
 }
 
-HttpCall BuildCall(const DirectCall& call, const RunnerView& view) {
+HttpCall BuildCall(const DirectCall& call,
+                   const RunnerView& view,
+                   const std::string& helper) {
   const DirectDaemon& daemon = *call.daemon;
   platform::RunnerCall runner_call;
   runner_call.runner_id = view.entry.id;
@@ -193,12 +199,62 @@
   http.deadline = call.deadline;
   http.connect_timeout = kConnectTimeout;
   http.request_id = call.headers.request_id;
+  http.tunnel = {helper, daemon.session};
+  // Where new connections are refused, kept ones may still work.
+  http.prefers_direct_idle = view.path.is_lost;
   http.may_send = [&call, &daemon, id = view.entry.id] {
     return MaySend(daemon, id, call);
   };
   return http;
 }
 
+// Records on which path the server was reached.
+void RecordPath(const DirectCall& call,
+                const std::string& runner,
+                const HttpExchange& exchange,
+                bool is_answered) {
+  DirectDaemon* daemon = call.daemon.get();
+  if (exchange.is_tunneled() && exchange.has_connected()) {
+    RecordHelped(call.attempt_helper, runner, daemon);
+  } else if (exchange.has_connected()) {
+    RecordServerReached(runner, daemon);
+  } else if (is_answered && !exchange.is_tunneled()) {
+    RecordServerHeard(daemon);
+  }
+}
+
+// Sends the request on this host's own path to the server, or through another
+// host where that is lost.
+awaitable<Result<HttpHead>> StartOnPath(DirectCall& call,
+                                        RunnerView* view,
+                                        HttpExchange& exchange) {
+  const std::shared_ptr<DirectDaemon>& daemon = call.daemon;
+  const std::string runner = view->entry.id;
+  for (int path = 1;; ++path) {
+    call.attempt_helper = HelperFor(*daemon, runner);
+    auto started =
+        co_await exchange.Start(BuildCall(call, *view, call.attempt_helper));
+    if (!exchange.is_tunneled()) {
+      call.attempt_helper.clear();
+    }
+    const Error* error = Failure(started);
+    if (!exchange.is_unreached()) {
+      RecordPath(call, runner, exchange, error == nullptr);
+      co_return started;
+    }
+    if (exchange.is_tunneled()) {
+      RecordHelperFailed(call.attempt_helper, runner, error->message,
+                         daemon.get());
+    } else {
+      RecordServerUnreached(runner, error->message, daemon);
+    }
+    if (path == kMaxPaths || call.is_disconnected ||
+        HelperFor(*daemon, runner).empty()) {
+      co_return started;
+    }
+  }
+}
+
 struct MatchedHead {
   HttpHead head;
   AnswerMatch match = AnswerMatch::kOwn;
@@ -537,7 +593,7 @@
   HttpExchange exchange(&daemon.pool);
   AttemptScope scope(&call, &exchange);
   ScopedReturnSend return_send(view);
-  auto started = co_await exchange.Start(BuildCall(call, *view));
+  auto started = co_await StartOnPath(call, view, exchange);
   AttemptOutcome outcome;
   if (const Error* error = Failure(started)) {
     outcome =
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -51,6 +51,7 @@
   std::string stream_key;           // of its record
   bool is_stream_recorded = false;  // since this host forwards its events
   std::string last_runner;
+  std::string attempt_helper;  // host that the newest attempt went through
   std::string no_runner_reason;
   std::optional<Duration> no_runner_retry_after;
   bool is_blocked = false;  // it, or a part of its prompt, crashes runners
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -97,6 +97,7 @@
   std::map<std::string, int> parts;
   Time checked_at;  // when it was last checked for a crash
   bool has_crashed = false;
+  bool is_confirming = false;  // another host is asked whether it has crashed
 };
 
 // The versions in service and the streams that began at them
@@ -190,6 +191,11 @@
   std::map<std::string, Time> avoided_peers;
   Signal broadcast_signal;  // wakes the broadcast loop
 
+  // Ways to the backend servers (direct_paths.h).
+  ServerReach reach;
+  AvoidedHelpers avoided_helpers;
+  int tunnels = 0;  // for other hosts, open
+
   TokenLimits tokens;
   RepeatLimits repeats{{}, Time::max()};  // no reserve before has_joined
 
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -10,6 +10,7 @@
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_daemon.h"
 #include "rosemaryhook/direct_orders.h"
+#include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_peers.h"
 #include "rosemaryhook/direct_requests.h"
 #include "rosemaryhook/direct_store.h"
@@ -21,6 +22,7 @@
 #include "rosemaryhook/peer_reads.h"
 #include "rosemaryhook/table.h"
 #include "rosemaryhook/task.h"
+#include "rosemaryhook/tunnel.h"
 
 namespace rosemaryhook {
 namespace {
@@ -90,6 +92,8 @@
   gauge("runner_list_age_ms", Millis(now - daemon.runner_contact.last_answer));
   gauge("owner_contact_age_ms", Millis(now - daemon.ownership.contact));
   gauge("hosts_heard", FleetQuorum(daemon, now).reachable);
+  gauge("cut_off", IsCutOff(daemon.reach, now) ? 1 : 0);
+  gauge("tunnels", daemon.tunnels);
   gauge("runners", static_cast<int64_t>(daemon.runners.size()));
   gauge("runners_owned", static_cast<int64_t>(daemon.owned.size()));
   gauge("requests_waiting", static_cast<int64_t>(daemon.runner_waiters.size()));
@@ -117,7 +121,9 @@
 HttpHandler OperatorsHandler(DirectDaemonPtr daemon) {
   return [daemon = std::move(daemon)](const HttpRequest& request,
                                       HttpReply& reply) -> awaitable<void> {
-    if (IsPeerRead(request)) {
+    if (IsTunnelRequest(request)) {
+      co_await ServeTunnel(daemon, request, reply);
+    } else if (IsPeerRead(request)) {
       co_await AnswerPeerRead(daemon, request, reply);
     } else if (request.target == "/metrics") {
       co_await reply.Send(200, {}, daemon->metrics.Text() + GaugeText(*daemon));
@@ -200,7 +206,8 @@
   if (servers->callers->acceptor != nullptr) {
     servers->callers->acceptor->close(ignored);
   }
-  while (servers->callers->active > 0 && Now() < deadline) {
+  while ((servers->callers->active > 0 || daemon->tunnels > 0) &&
+         Now() < deadline) {
     co_await Sleep(kDrainPollInterval);
   }
   if (servers->callers->active > 0) {
@@ -310,6 +317,7 @@
   StartTokenRecord(daemon);
   StartBlockingParts(daemon);
   StartStreamRecords(daemon);
+  StartPaths(daemon);
   const auto executor = daemon->io.get_executor();
   StartLoop(executor, "callers", [=] { return Serve(servers->callers); });
   StartLoop(executor, "readiness", [=] { return Serve(servers->readiness); });
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -8,6 +8,7 @@
 #include "platform/header_codec.h"
 #include "platform/runner_codec.h"
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/task.h"
@@ -80,7 +81,7 @@
   const RunnerView* view = FindRunnerView(daemon, runner);
   return MayOrder(daemon.ownership, runner, Now()) && !daemon.is_leaving &&
          view != nullptr && !HasSaidLeaving(*view) &&
-         !IsPaused(view->pause, Now());
+         HasOwnPath(daemon, *view) && !IsPaused(view->pause, Now());
 }
 
 // Makes the adapters that the runner holds visible to requests on this host and
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -91,11 +91,11 @@
       message.operators.empty() ? host.operators : message.operators;
   const Time last_broadcast =
       message.updates.empty() ? host.last_broadcast : now;
-  host = {message.session,    message.address,
-          message.zone,       now,
-          message.is_leaving, message.is_store_reachable,
-          operators,          last_broadcast,
-          message.is_draining};
+  host = {message.session,     message.address,
+          message.zone,        now,
+          message.is_leaving,  message.is_store_reachable,
+          operators,           last_broadcast,
+          message.is_draining, message.is_cut_off};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
@@ -200,6 +200,13 @@
       view->second.owner_session = message.session;
     }
   }
+  for (const std::string& runner : message.unreached) {
+    const auto view = daemon->runners.find(runner);
+    if (view != daemon->runners.end() &&
+        view->second.owner_session == message.session) {
+      view->second.is_owner_reachable = false;
+    }
+  }
   for (const auto& [runner, total] : message.totals) {
     RecordTotal(message.session, runner, total, daemon);
   }
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -7,6 +7,7 @@
 
 #include "rosemaryhook/direct_admission.h"
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/task.h"
@@ -112,13 +113,32 @@
   co_return ec == asio::error::connection_refused;
 }
 
+// Marks the runner as crashed, which refuses connections of this host, unless
+// another host reaches it: then only the path is at fault.
+awaitable<void> ConfirmCrash(DirectDaemonPtr daemon,
+                             std::string runner,
+                             std::string incarnation) {
+  const SecondOpinion opinion = co_await AskHelper(daemon, runner);
+  const bool is_path_fault =
+      opinion == SecondOpinion::kReached ||
+      (opinion == SecondOpinion::kUnknown && IsCutOff(daemon->reach, Now()));
+  const auto found = daemon->broken_runners.find(incarnation);
+  if (found != daemon->broken_runners.end()) {
+    found->second.is_confirming = false;
+  }
+  if (is_path_fault) {
+    Log("runner_crash_denied", {{"start", incarnation}, {"runner", runner}});
+  } else {
+    MarkCrashed(incarnation, daemon.get());
+  }
+}
+
 awaitable<void> CheckRunner(DirectDaemonPtr daemon,
+                            std::string runner,
                             std::string incarnation,
                             std::string address) {
-  const bool has_crashed = co_await RefusesConnections(address);
-  if (has_crashed) {
-    MarkCrashed(incarnation, daemon.get());
-    co_return;
+  if (co_await RefusesConnections(address)) {
+    co_return co_await ConfirmCrash(daemon, runner, incarnation);
   }
   // The runner only broke off some requests.
   const auto found = daemon->broken_runners.find(incarnation);
@@ -208,8 +228,14 @@
 
 void RecordAttemptEnd(const DirectCall& call, const AttemptOutcome& outcome) {
   DirectDaemon& daemon = *call.daemon;
-  if (outcome.is_connection_refused) {
-    MarkCrashed(call.attempt_incarnation, &daemon);
+  const auto known = daemon.broken_runners.find(call.attempt_incarnation);
+  if (outcome.is_connection_refused && known != daemon.broken_runners.end() &&
+      !known->second.has_crashed &&
+      !std::exchange(known->second.is_confirming, true)) {
+    asio::co_spawn(
+        daemon.io,
+        ConfirmCrash(call.daemon, call.last_runner, call.attempt_incarnation),
+        asio::detached);
   }
   const auto view = daemon.runners.find(call.last_runner);
   const bool is_leaving =
@@ -231,10 +257,11 @@
     RecordCrashOf(call.attempt_incarnation, events, &daemon);
   } else if (now - broken.checked_at >= kCheckInterval) {
     broken.checked_at = now;
-    asio::co_spawn(daemon.io,
-                   CheckRunner(call.daemon, call.attempt_incarnation,
-                               view->second.entry.address),
-                   asio::detached);
+    asio::co_spawn(
+        daemon.io,
+        CheckRunner(call.daemon, call.last_runner, call.attempt_incarnation,
+                    view->second.entry.address),
+        asio::detached);
   }
 }
 
--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -84,6 +84,12 @@
   // Closes the connection after this answer.
   void CloseAfter() { keep_alive_ = false; }
 
+  // Ends HTTP on the connection: the handler reads and writes socket() itself.
+  // The connection closes when the handler returns.
+  void TakeOver();
+  tcp::socket& socket() { return stream_->socket(); }
+  asio::ip::address caller_address() const;
+
   bool begun() const { return begun_; }
   bool keep_alive() const { return keep_alive_ && ok_; }
 
@@ -147,6 +153,19 @@
 
 Result<tcp::endpoint> ParseAddress(const std::string& address);
 
+// Sets limits on how long a connection to a peer that is gone stays open.
+void EnableDeadPeerDetection(tcp::socket* socket);
+
+// A tunnel through another host (tunnel.h); none if `helper` is empty.
+struct HttpTunnel {
+  std::string helper;   // ip:port
+  std::string session;  // of this host
+};
+extern const char kTunnelSessionHeader[];
+
+// The status of a host whose connection to the target was refused.
+constexpr int kTunnelTargetRefused = 502;
+
 struct HttpCall {
   std::string address;  // ip:port
   std::string method = "POST";
@@ -160,6 +179,9 @@
   // connection has carried no request of the same id before.
   std::string request_id;
   Duration connect_timeout = std::chrono::seconds(2);
+  HttpTunnel tunnel = {};
+  // Prefers an idle connection without a tunnel, if there is one.
+  bool prefers_direct_idle = false;
   // Resets the connection when it is closed, so that a request that the network
   // holds up is lost with its exchange instead of arriving late.
   bool resets_on_close = false;
@@ -182,7 +204,7 @@
 
 std::string_view ConnectionEndName(ConnectionEnd end);
 
-// Idle connections, newest last, by address.
+// Idle connections, newest last, by PoolKey.
 struct HttpPool {
   struct Idle {
     std::shared_ptr<beast::tcp_stream> stream;
@@ -193,12 +215,16 @@
   };
   std::map<std::string, std::vector<Idle>> idle;
   asio::ip::address source;  // of connections, unless it is unspecified
-  uint64_t opened = 0;     // connections opened
-  uint64_t reused = 0;     // exchanges on a reused connection
-  uint64_t discarded = 0;  // connections closed since another was silent
-  uint64_t excessive = 0;  // answers given up for their number of bytes
+  uint64_t opened = 0;       // connections opened
+  uint64_t reused = 0;       // exchanges on a reused connection
+  uint64_t discarded = 0;    // connections closed since another was silent
+  uint64_t excessive = 0;    // answers given up for their number of bytes
 };
 
+// Key of the connections to `address` through `helper`, which may be empty.
+std::string PoolKey(const std::string& address, const std::string& helper);
+std::string HelperOfPoolKey(const std::string& key);
+
 // One request and its response. A head that was read from parts of two answers
 // (answer_head.h) is an error, and so is an answer with more bytes besides its
 // data than answer_bytes.h allows. Memory: kMaxUnparsedBytes and one part of
@@ -209,6 +235,9 @@
 
   awaitable<Result<HttpHead>> Start(HttpCall call);
 
+  // Opens a connection and keeps it in the pool, instead of Start.
+  awaitable<Result<Done>> OpenIdle(HttpCall call);
+
   // The next part of the body; empty at its end.
   awaitable<Result<std::string>> ReadChunk();
 
@@ -235,6 +264,18 @@
   // Whether the peer refused the connection: no process listens there.
   bool is_refused() const { return is_refused_; }
 
+  // Whether no connection could be opened, for no reason of this host.
+  bool is_unreached() const { return is_unreached_; }
+
+  // Whether a connection was opened.
+  bool has_connected() const { return has_connected_; }
+
+  // Whether the connection goes through another host.
+  bool is_tunneled() const { return is_tunneled_; }
+
+  // Status of the answer to the request for a tunnel; 0 if there was none.
+  int tunnel_status() const { return tunnel_status_; }
+
   // Whether the peer closed the connection before the end of the answer.
   bool is_closed_by_peer() const { return is_closed_by_peer_; }
 
@@ -278,6 +319,11 @@
 
  private:
   awaitable<Result<Done>> Connect();
+  // Asks the host that the stream is connected to for a tunnel.
+  awaitable<Result<Done>> OpenTunnel();
+  std::string OwnPoolKey() const;
+  // An idle connection for the call; its `stream` is null if there is none.
+  HttpPool::Idle TakeIdle();
   awaitable<Result<Done>> SendRequest();
   // Records that the connection carries a request of this id.
   void RecordRequestId();
@@ -318,6 +364,10 @@
   std::vector<size_t> request_ids_;  // as in HttpPool::Idle
   bool has_repeated_id_ = false;
   bool is_refused_ = false;
+  bool is_unreached_ = false;
+  bool has_connected_ = false;
+  bool is_tunneled_ = false;
+  int tunnel_status_ = 0;
   bool is_closed_by_peer_ = false;
   bool is_kept_ = false;
   bool has_joined_head_ = false;
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -55,6 +55,8 @@
 // a peer that always has more to read would never let a timer end the exchange.
 constexpr Duration kLateReadTime = std::chrono::milliseconds(100);
 
+constexpr char kKeySeparator = ' ';
+
 constexpr char kBodyTooLong[] = "the body is too long";
 
 constexpr NameTable<ConnectionEnd, 3> kConnectionEndNames{{
@@ -63,18 +65,6 @@
     {ConnectionEnd::kOpen, "open"},
 }};
 
-void EnableDeadPeerDetection(tcp::socket* socket) {
-  const int fd = socket->native_handle();
-  const auto set = [fd](int level, int option, int value) {
-    setsockopt(fd, level, option, &value, sizeof value);
-  };
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kTcpUserTimeoutMs);
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
-  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-}
-
 // Returns whether the socket may be used.
 bool BindSource(const asio::ip::address& source, tcp::socket* socket) {
   if (source.is_unspecified()) {
@@ -129,9 +119,9 @@
 // Returns an idle connection that is still open and has carried no request of
 // this id; its `stream` is null if there is none.
 HttpPool::Idle PopIdleConnection(HttpPool* pool,
-                                 const std::string& address,
+                                 const std::string& key,
                                  const std::string& request_id) {
-  const auto found = pool->idle.find(address);
+  const auto found = pool->idle.find(key);
   if (found == pool->idle.end()) {
     return {};
   }
@@ -155,6 +145,17 @@
   return connection;
 }
 
+// Closes the idle connections of a key and returns their number.
+size_t DiscardIdle(HttpPool* pool, const std::string& key) {
+  const auto found = pool->idle.find(key);
+  if (found == pool->idle.end()) {
+    return 0;
+  }
+  const size_t count = found->second.size();
+  pool->idle.erase(found);
+  return count;
+}
+
 }  // namespace
 
 // A request that is being sent. A long body is sent while waiting for the
@@ -176,6 +177,30 @@
 
 }  // namespace
 
+const char kTunnelSessionHeader[] = "Host-Session";
+
+void EnableDeadPeerDetection(tcp::socket* socket) {
+  const int fd = socket->native_handle();
+  const auto set = [fd](int level, int option, int value) {
+    setsockopt(fd, level, option, &value, sizeof value);
+  };
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kTcpUserTimeoutMs);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+std::string PoolKey(const std::string& address, const std::string& helper) {
+  return helper.empty() ? address : address + kKeySeparator + helper;
+}
+
+std::string HelperOfPoolKey(const std::string& key) {
+  const size_t separator = key.find(kKeySeparator);
+  return separator == std::string::npos ? std::string()
+                                        : key.substr(separator + 1);
+}
+
 HttpExchange::HttpExchange(HttpPool* pool)
     : pool_(pool), idle_timeout_(kDefaultIdleTimeout) {}
 
@@ -227,15 +252,21 @@
 }
 
 void HttpExchange::DiscardSilentConnections() {
-  const auto found = pool_->idle.find(call_.address);
+  const auto found = pool_->idle.find(OwnPoolKey());
   if (found != pool_->idle.end()) {
     pool_->discarded += std::erase_if(
         found->second, [this](const auto& i) { return i.kept_since <= sent_; });
   }
 }
 
+std::string HttpExchange::OwnPoolKey() const {
+  return PoolKey(call_.address, is_tunneled_ ? call_.tunnel.helper : "");
+}
+
 awaitable<Result<Done>> HttpExchange::Connect() {
-  const auto endpoint = ParseAddress(call_.address);
+  is_tunneled_ = !call_.tunnel.helper.empty();
+  const auto endpoint =
+      ParseAddress(is_tunneled_ ? call_.tunnel.helper : call_.address);
   if (const Error* error = Failure(endpoint)) {
     co_return *error;
   }
@@ -245,17 +276,64 @@
     co_return Error{Step::kConnect, pool_->source.to_string(),
                     "cannot use the source address"};
   }
-  stream_->expires_after(
-      std::clamp(call_.deadline - Now(), Duration(1), call_.connect_timeout));
+  const Duration left = call_.deadline - Now();
+  stream_->expires_after(std::clamp(left, Duration(1), call_.connect_timeout));
   auto [ec] = co_await stream_->async_connect(std::get<tcp::endpoint>(endpoint),
                                               kToTuple);
   if (ec) {
+    const bool is_own_end = ec == asio::error::operation_aborted ||
+                            (IsTimeout(ec) && left < call_.connect_timeout);
+    is_unreached_ = !is_own_end;
+    if (IsTimeout(ec) && !is_own_end) {
+      pool_->discarded += DiscardIdle(pool_, OwnPoolKey());
+    }
     co_return MakeError(Step::kConnect, ec);
   }
   ++pool_->opened;
   beast::error_code ignored;
   stream_->socket().set_option(tcp::no_delay(true), ignored);
   EnableDeadPeerDetection(&stream_->socket());
+  if (is_tunneled_) {
+    const auto opened = co_await OpenTunnel();
+    if (Failure(opened) != nullptr) {
+      co_return opened;
+    }
+  }
+  has_connected_ = true;
+  co_return Done{};
+}
+
+awaitable<Result<Done>> HttpExchange::OpenTunnel() {
+  http::request<http::empty_body> request(http::verb::connect, call_.address,
+                                          11);
+  request.set(http::field::host, call_.address);
+  request.set(kTunnelSessionHeader, call_.tunnel.session);
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  parser.header_limit(kMaxHeadBytes);
+  stream_->expires_after(
+      std::clamp(call_.deadline - Now(), Duration(1), call_.connect_timeout));
+  auto [write_ec, written] =
+      co_await http::async_write(*stream_, request, kToTuple);
+  beast::error_code ec = write_ec;
+  if (!ec) {
+    auto [read_ec, read] =
+        co_await http::async_read_header(*stream_, buffer_, parser, kToTuple);
+    ec = read_ec;
+  }
+  is_unreached_ = ec != asio::error::operation_aborted;
+  if (ec) {
+    const Error error = MakeError(Step::kConnect, ec);
+    is_refused_ = false;
+    is_closed_by_peer_ = false;
+    co_return error;
+  }
+  tunnel_status_ = static_cast<int>(parser.get().result_int());
+  if (tunnel_status_ != 200 || buffer_.size() > 0) {
+    co_return Error{Step::kConnect, call_.tunnel.helper,
+                    "no tunnel, status " + std::to_string(tunnel_status_)};
+  }
+  is_unreached_ = false;
   co_return Done{};
 }
 
@@ -386,11 +464,40 @@
   co_return MakeExcessError("too many interim heads");
 }
 
+HttpPool::Idle HttpExchange::TakeIdle() {
+  const std::string& helper = call_.tunnel.helper;
+  HttpPool::Idle idle;
+  if (helper.empty() || call_.prefers_direct_idle) {
+    idle = PopIdleConnection(pool_, call_.address, call_.request_id);
+  }
+  if (idle.stream == nullptr && !helper.empty()) {
+    idle = PopIdleConnection(pool_, PoolKey(call_.address, helper),
+                             call_.request_id);
+    is_tunneled_ = idle.stream != nullptr;
+  }
+  return idle;
+}
+
+awaitable<Result<Done>> HttpExchange::OpenIdle(HttpCall call) {
+  call_ = std::move(call);
+  const auto connected = co_await Connect();
+  if (Failure(connected) == nullptr) {
+    stream_->expires_never();
+    const Time now = Now();
+    pool_->idle[OwnPoolKey()].push_back(
+        {std::move(stream_), now, now + idle_timeout_, 0, {}});
+    is_kept_ = true;
+  }
+  co_return connected;
+}
+
 awaitable<Result<HttpHead>> HttpExchange::Start(HttpCall call) {
   call_ = std::move(call);
+  is_refused_ = false;
+  is_unreached_ = false;
+  is_tunneled_ = false;
   if (!call_.fresh_connection) {
-    HttpPool::Idle idle =
-        PopIdleConnection(pool_, call_.address, call_.request_id);
+    HttpPool::Idle idle = TakeIdle();
     stream_ = std::move(idle.stream);
     earlier_answers_ = idle.answers;
     request_ids_ = std::move(idle.request_ids);
@@ -489,7 +596,7 @@
   if (!IsReusable()) {
     return;
   }
-  auto& idle = pool_->idle[call_.address];
+  auto& idle = pool_->idle[OwnPoolKey()];
   if (idle.size() < kMaxIdlePerAddress) {
     stream_->expires_never();
     const Time now = Now();
--- a/rosemaryhook/http_server.cc
+++ b/rosemaryhook/http_server.cc
@@ -638,6 +638,17 @@
   co_return ok_;
 }
 
+void HttpReply::TakeOver() {
+  begun_ = true;
+  keep_alive_ = false;
+  CallerWatch::Stop(this);
+}
+
+asio::ip::address HttpReply::caller_address() const {
+  beast::error_code ec;
+  return stream_->socket().remote_endpoint(ec).address();
+}
+
 void HttpReply::OnCallerDisconnect(std::function<void()> on_disconnect) {
   on_disconnect_ = std::move(on_disconnect);
 }
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -130,6 +130,7 @@
   message.is_draining = json.value("i", false);
   message.is_leaving = json.value("l", false);
   message.is_store_reachable = json.value("b", false);
+  message.is_cut_off = json.value("x", false);
   message.operators = json.value("e", "");
   message.updates = UpdatesFromJson(json.value("d", Json::array()));
   message.tokens_used = Field<std::map<std::string, double>>(json, "t");
@@ -137,6 +138,7 @@
   message.totals = LoadsFromJson(json.value("q", Json::object()));
   message.used = Field<std::map<std::string, std::set<std::string>>>(json, "u");
   message.owned = Field<std::map<std::string, HeldAdapters>>(json, "o");
+  message.unreached = Field<std::set<std::string>>(json, "y");
   for (const Json& item : json.value("w", Json::array())) {
     message.load_requests.push_back(LoadRequestFromJson(item));
   }
@@ -177,6 +179,9 @@
   if (message.is_store_reachable) {
     json["b"] = true;
   }
+  if (message.is_cut_off) {
+    json["x"] = true;
+  }
   if (!message.operators.empty()) {
     json["e"] = message.operators;
   }
@@ -186,6 +191,7 @@
   add("q", LoadsToJson(message.totals));
   add("u", message.used);
   add("o", message.owned);
+  add("y", message.unreached);
   add("w", LoadRequestsToJson(message.load_requests));
   add("m", LimitsToJson(message.limits));
   add("k", message.parts);
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -73,6 +73,7 @@
   bool is_draining = false;         // shuts down soon
   bool is_leaving = false;          // gives no more orders
   bool is_store_reachable = false;  // the store answers this host
+  bool is_cut_off = false;          // reaches no backend servers
   std::string operators;            // ip:port; not in every message
   std::map<std::string, double> tokens_used;  // customer -> total of session
   std::map<std::string, RunnerLoad> loads;    // runner -> of this host
@@ -80,6 +81,8 @@
   std::map<std::string, std::set<std::string>> used;
   std::map<std::string, RunnerLoad> totals;   // owned runner -> of all hosts
   std::map<std::string, HeldAdapters> owned;  // runner -> usable adapters
+  // Owned runners to which the sender has lost its path.
+  std::set<std::string> unreached;
   std::vector<LoadRequest> load_requests;
   LoadProbe probe;
   int64_t answered_probe = 0;  // id of the receiver's probe; 0 if none
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -30,6 +30,7 @@
 #include "rosemaryhook/runner_health.h"
 #include "rosemaryhook/send_pause.h"
 #include "rosemaryhook/send_rate.h"
+#include "rosemaryhook/server_path.h"
 #include "rosemaryhook/time.h"
 
 namespace rosemaryhook {
@@ -72,6 +73,7 @@
   RunnerLoad others;
   std::map<std::string, RunnerLoad> peers;  // by session
   RunnerHealth health;
+  ServerPath path;
   FirstTokenLatency first_token_latency;
   RecentPrompts recent_prompts;
   Time cold_until;
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -84,6 +84,7 @@
   std::string operators = {};       // ip:port that serves reads for other hosts
   Time last_broadcast = {};         // when it last broadcast a list update
   bool is_draining = false;         // is about to stop; accepts nothing new
+  bool is_cut_off = false;          // reaches no backend servers
 };
 
 // When and how a host may order its own runner.
