--- a/rosemaryhook/testing/lost_paths_process_test.cc
+++ b/rosemaryhook/testing/lost_paths_process_test.cc
@@ -50,21 +50,34 @@
     std::this_thread::sleep_for(seconds(3));
   }
 
-  void Cut(int host) {
-    for (const auto& server : servers) {
-      server->Drop(site.HostIp(host));
+  // Cuts hosts from every `stride`th server. Their open connections hang, or
+  // are reset.
+  void Cut(const std::vector<int>& hosts, size_t stride, bool resets) {
+    std::vector<std::string> sources;
+    for (const int host : hosts) {
+      sources.push_back(site.HostIp(host));
+    }
+    for (size_t i = 0; i < servers.size(); i += stride) {
+      for (const std::string& source : sources) {
+        if (resets) {
+          servers[i]->Reset(source);
+        }
+      }
+      servers[i]->Drop(sources);
     }
   }
 
   void Heal() {
     for (const auto& server : servers) {
-      server->Drop(std::nullopt);
+      server->Drop({});
     }
   }
 
   Site site;
   RunLedger ledger;
   std::vector<std::unique_ptr<ScriptedServer>> servers;
+  // Answers bookings, if it is set.
+  std::function<ScriptedServer::Answer(const std::string& id)> answer;
 
  private:
   ScriptedServer::Answer Answer(const ScriptedRequest& request) {
@@ -74,6 +87,9 @@
     }
     ledger.Add(id);
     const bool is_stream = request.target().starts_with("/chat/");
+    if (answer && !is_stream) {
+      return answer(id);
+    }
     return {
         MakeAnswer("200 OK",
                    IdHeaders(id) +
@@ -148,26 +164,43 @@
 BOOST_AUTO_TEST_SUITE(lost_paths)
 
 // Guards against callers that are refused or get no answer at a host that has
-// lost its paths to all servers.
+// lost its paths to servers.
 BOOST_AUTO_TEST_CASE(callers_of_a_cut_host_are_served_like_the_others) {
-  CutSite cut(15300);
-  const Time start = Now();
-  const Time end = start + seconds(10);
-  Callers cut_callers(&cut, 0, start + seconds(1) + kContactTime, end);
-  Callers other_callers(&cut, 1, start + seconds(1) + kContactTime, end);
-  std::this_thread::sleep_for(seconds(1));
-  cut.Cut(0);
-  const Served at_cut = cut_callers.Join();
-  const Served at_other = other_callers.Join();
-  BOOST_TEST_MESSAGE("cut " << at_cut.served << "/" << at_cut.sent << ", other "
-                            << at_other.served << "/" << at_other.sent);
-  BOOST_REQUIRE(at_cut.sent > 0);
-  BOOST_REQUIRE(at_other.sent > 0);
-  // The platform's rule: at least two thirds as often as at the others.
-  BOOST_TEST(3.0 * at_cut.served / at_cut.sent >=
-                 2.0 * at_other.served / at_other.sent,
-             at_cut.served << " of " << at_cut.sent << " served, at the other "
-                           << at_other.served << " of " << at_other.sent);
+  struct Case {
+    const char* name;
+    int port;
+    std::vector<int> hosts;
+    size_t stride;
+    bool resets;
+  };
+  const std::vector<Case> cases{
+      {"one host, silently", 15300, {0}, 1, false},
+      {"one host, by resets", 15500, {0}, 1, true},
+      {"all hosts but one", 15600, {0, 2, 3}, 1, false},
+      {"from half of the servers", 15700, {0, 2}, 2, false},
+  };
+  for (const Case& test : cases) {
+    CutSite cut(test.port);
+    const Time start = Now();
+    const Time end = start + seconds(10);
+    Callers cut_callers(&cut, 0, start + seconds(1) + kContactTime, end);
+    Callers other_callers(&cut, 1, start + seconds(1) + kContactTime, end);
+    std::this_thread::sleep_for(seconds(1));
+    cut.Cut(test.hosts, test.stride, test.resets);
+    const Served at_cut = cut_callers.Join();
+    const Served at_other = other_callers.Join();
+    BOOST_TEST_MESSAGE(test.name << ": " << at_cut.served << " of "
+                                 << at_cut.sent << ", other host "
+                                 << at_other.served << " of " << at_other.sent);
+    BOOST_REQUIRE(at_cut.sent > 0);
+    BOOST_REQUIRE(at_other.sent > 0);
+    // The platform's rule: at least two thirds as often as at the others.
+    BOOST_TEST(3.0 * at_cut.served / at_cut.sent >=
+                   2.0 * at_other.served / at_other.sent,
+               test.name << ": " << at_cut.served << " of " << at_cut.sent
+                         << " served, at the other " << at_other.served
+                         << " of " << at_other.sent);
+  }
 }
 
 // The same while the paths come and go; no outcome is untrue at the edges.
@@ -178,7 +211,7 @@
   Callers cut_callers(&cut, 0, start, end);
   for (int i = 0; i < 3; ++i) {
     std::this_thread::sleep_for(milliseconds(1500));
-    cut.Cut(0);
+    cut.Cut({0}, 1, i == 1);
     std::this_thread::sleep_for(milliseconds(2500));
     cut.Heal();
   }
@@ -189,6 +222,109 @@
   BOOST_TEST(reply.status == 200);
 }
 
+// Status of the answer to a request for a tunnel to `target`, sent to host 1
+// from the address `source`.
+int AskForTunnel(const Site& site,
+                 const std::string& source,
+                 const std::string& session,
+                 const std::string& target) {
+  asio::io_context io;
+  tcp::socket socket(io, tcp::endpoint(asio::ip::make_address(source), 0));
+  socket.connect(std::get<tcp::endpoint>(ParseAddress(site.Operators(1))));
+  http::request<http::empty_body> request(http::verb::connect, target, 11);
+  request.set(http::field::host, target);
+  request.set("Host-Session", session);
+  http::write(socket, request);
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  beast::flat_buffer buffer;
+  http::read_header(socket, buffer, parser);
+  return static_cast<int>(parser.get().result_int());
+}
+
+std::string SessionOf(const Site& site, int host) {
+  constexpr std::string_view kField = "event=start session=";
+  const std::string log = site.LogOf(host);
+  const size_t begin = log.find(kField) + kField.size();
+  return log.substr(begin, log.find(' ', begin) - begin);
+}
+
+// Guards against callers, or anyone, that reach servers or other addresses
+// through a host.
+BOOST_AUTO_TEST_CASE(only_hosts_get_tunnels_and_only_to_listed_servers) {
+  CutSite cut(15800);
+  const std::string session = SessionOf(cut.site, 0);
+  const std::string own = cut.site.HostIp(0);
+  const std::string server = cut.site.Backend(0);
+  struct Case {
+    const char* name;
+    std::string source;
+    std::string session;
+    std::string target;
+    int status;
+  };
+  const std::vector<Case> cases{
+      {"a host", own, session, server, 200},
+      {"no session", own, "", server, 403},
+      {"an unknown session", own, "entry-0-00000000", server, 403},
+      {"the session of another machine", "127.0.0.1", session, server, 403},
+      {"the store", own, session, cut.site.Store(), 403},
+      {"another host", own, session, cut.site.Operators(2), 403},
+      {"no address", own, session, "server", 403},
+  };
+  for (const Case& test : cases) {
+    BOOST_TEST(AskForTunnel(cut.site, test.source, test.session, test.target) ==
+                   test.status,
+               test.name);
+  }
+}
+
+// Guards against answers without a length that look complete though they broke
+// off, at the server or with the host that they came through.
+BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_in_a_tunnel_is_not_complete) {
+  CutSite cut(15900);
+  const std::string whole = "a body that ends with its connection";
+  cut.answer = [&](const std::string& id) {
+    ScriptedServer::Answer answer{"HTTP/1.1 200 OK\r\n" + IdHeaders(id) +
+                                  "\r\n" + whole};
+    answer.closes = true;
+    if (id.starts_with("reset-")) {
+      const size_t head = answer.bytes.size() - whole.size();
+      answer.bytes.resize(head + std::stoul(id.substr(6)));
+      answer.resets = true;
+    }
+    if (id.starts_with("killed-")) {
+      answer.closes = false;
+      answer.endless = "x";
+      answer.endless_pause = milliseconds(20);
+    }
+    return answer;
+  };
+  cut.Cut({0}, 1, false);
+  BOOST_REQUIRE(Await(10, [&] {
+    static int next = 0;
+    return cut.site.Book(0, "learn-" + std::to_string(++next)).status == 200;
+  }));
+  const Reply reply = cut.site.Book(0, "whole");
+  BOOST_TEST(reply.status == 200);
+  BOOST_TEST(reply.body == whole);
+  for (size_t bytes = 0; bytes < whole.size(); ++bytes) {
+    const Reply broken = cut.site.Book(0, "reset-" + std::to_string(bytes));
+    BOOST_TEST(broken.status != 200, "reset after " << bytes << " bytes");
+  }
+  for (int i = 1; i < kHosts; ++i) {
+    auto waiting =
+        Async([&] { return cut.site.Book(0, "killed-" + std::to_string(i)); });
+    std::this_thread::sleep_for(milliseconds(300));
+    if (i == 1) {
+      for (int host = 1; host < kHosts; ++host) {
+        cut.site.Kill(cut.site.host(host));
+      }
+    }
+    BOOST_TEST(waiting.get().status != 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -3,7 +3,6 @@
 #include <linux/filter.h>
 #include <sys/socket.h>
 
-#include <array>
 #include <variant>
 
 namespace rosemaryhook::testing {
@@ -12,24 +11,19 @@
 // What is late is read before the answer itself arrives.
 constexpr auto kLateLead = std::chrono::milliseconds(20);
 
-// Drops what arrives from `source` (an IPv4 address) at a socket, before TCP
-// sees it.
-void SetDropFilter(int fd, const std::optional<std::string>& source) {
-  if (!source) {
-    const int unused = 0;
-    setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
-    return;
-  }
+// Drops what arrives from these IPv4 addresses at a socket, before TCP sees it.
+void SetDropFilter(int fd, const std::vector<std::string>& sources) {
   constexpr uint32_t kSourceOffset = 12;  // in the IP header
-  std::array<sock_filter, 4> code{{
-      BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
-               static_cast<uint32_t>(SKF_NET_OFF) + kSourceOffset),
-      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
-               asio::ip::make_address_v4(*source).to_uint(), 0, 1),
-      BPF_STMT(BPF_RET | BPF_K, 0),
-      BPF_STMT(BPF_RET | BPF_K, 0xffffffff),
-  }};
-  const sock_fprog program{code.size(), code.data()};
+  std::vector<sock_filter> code;
+  code.push_back(BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+                          static_cast<uint32_t>(SKF_NET_OFF) + kSourceOffset));
+  for (const std::string& source : sources) {
+    code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K,
+                            asio::ip::make_address_v4(source).to_uint(), 0, 1));
+    code.push_back(BPF_STMT(BPF_RET | BPF_K, 0));
+  }
+  code.push_back(BPF_STMT(BPF_RET | BPF_K, 0xffffffff));
+  const sock_fprog program{static_cast<uint16_t>(code.size()), code.data()};
   setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
 }
 
@@ -68,12 +62,12 @@
   }
 }
 
-void ScriptedServer::Drop(const std::optional<std::string>& source) {
+void ScriptedServer::Drop(const std::vector<std::string>& sources) {
   const std::scoped_lock lock(sockets_mutex_);
   // Sockets that are accepted later inherit the filter.
-  SetDropFilter(acceptor_.native_handle(), source);
+  SetDropFilter(acceptor_.native_handle(), sources);
   for (const auto& socket : sockets_) {
-    SetDropFilter(socket->native_handle(), source);
+    SetDropFilter(socket->native_handle(), sources);
   }
 }
 
--- a/rosemaryhook/testing/scripted_server.h
+++ b/rosemaryhook/testing/scripted_server.h
@@ -13,7 +13,6 @@
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -54,9 +53,9 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
-  // Drops all packets that arrive from this IPv4 address, as behind a silent
-  // network partition; nullopt ends that.
-  void Drop(const std::optional<std::string>& source);
+  // Drops all packets that arrive from these IPv4 addresses, as behind a silent
+  // network partition.
+  void Drop(const std::vector<std::string>& sources);
 
   // Resets the connections from this address.
   void Reset(const std::string& source);
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -6,7 +6,7 @@
   load_pacing list_trust membership peer_backlog peer_bounds peer_reads
   placement platform_codec rates prompt_suspects repeat_limits repeated_ids request_memory
   retries routing runner_choice runner_ownership request_suspects
-  runner_ownership_leaving send_pause send_rate settings statements store_era
+  runner_ownership_leaving send_pause server_path send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
   token_limits_restart token_record named_limit task request_framing
   stream_versions)
@@ -148,7 +148,9 @@
   order/a_take_up_without_a_record_is_refused
   order/one_version_alone_asks_nothing
   lost_paths/callers_of_a_cut_host_are_served_like_the_others
-  lost_paths/paths_that_come_and_go_run_no_request_twice)
+  lost_paths/paths_that_come_and_go_run_no_request_twice
+  lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
+  lost_paths/an_answer_that_breaks_off_in_a_tunnel_is_not_complete)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
