Add a failing test of brittle servers in a peak

Three servers of 6 slots say Server-Brittle: N in all answers and fall over after more than N refusals in a second; four hosts with 16 callers each. The statement is not decoded anywhere.

--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -32,7 +32,8 @@
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
-  crashing_requests retry_storm repeat_rules order lost_paths)
+  crashing_requests retry_storm repeat_rules order lost_paths
+  brittle_servers)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -150,7 +151,8 @@
   lost_paths/callers_of_a_cut_host_are_served_like_the_others
   lost_paths/paths_that_come_and_go_run_no_request_twice
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
-  lost_paths/an_answer_that_breaks_off_in_a_tunnel_is_not_complete)
+  lost_paths/an_answer_that_breaks_off_in_a_tunnel_is_not_complete
+  brittle_servers/servers_do_not_fall_over_in_a_peak)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
