Keep brittle servers from having to refuse requests

What was seen: servers that say Server-Brittle fell over 9 times in a peak of 6 s (2 allowed) and served 214 of 3600 requests.

Cause: the statement was not decoded. Every host sends to a server until it refuses; what hosts know of each other's requests is too old to keep them below its room, and callers come back at once.

Change: while a service is brittle, each host has a share of each server's slots, and the shares sum up to the slots. Beyond them all hosts together try at half of the rate that the server may refuse, in turn; a refusal is told to all hosts and stops such tries for a second, and one within the share stops the host's sends for a second. Statements reach the other hosts with full messages and hold for the service, so also for servers and hosts that have just started.

Tried and not kept: tries without turns and without telling others (6 falls with N of 2: after a calm time all hosts tried at once); a stop of all sends after any refusal (1897 served with N of 10).

Evidence: brittle_servers, one run: 0 falls in each case, 3594, 3426 and 3507 served of 3600. Conclusion: a static partition needs no news to hold.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -248,6 +248,17 @@
   }
 }
 
+// As with limits, only what servers told this host itself.
+void AddBrittle(const DirectDaemon& daemon, PeerMessage* message) {
+  const Time now = Now();
+  for (const auto& [service, statement] : daemon.brittle_services) {
+    if (statement.is_told_here) {
+      message->brittle[service] = {statement.refusals_per_s,
+                                   now - statement.as_of};
+    }
+  }
+}
+
 bool IsEmpty(const PeerMessage& message) {
   return message.loads.empty() && message.limits.empty() &&
          message.tokens_used.empty() && message.totals.empty() &&
@@ -330,6 +341,7 @@
   AddLimits(is_full, last_sent, *daemon, &out.common);
   AddRepeatedParts(is_full, now, daemon, &out.common);
   if (is_full) {
+    AddBrittle(*daemon, &out.common);
     out.common.operators = daemon->settings.operators;
     last_sent->full_due =
         now +
@@ -505,6 +517,12 @@
   daemon->broadcast_signal.Notify();
 }
 
+void SendRefusedBy(const std::string& runner, DirectDaemon* daemon) {
+  PeerMessage message = NewMessage(daemon);
+  message.refused_by.insert(runner);
+  SendToAll(message, daemon);
+}
+
 void SendLeaving(DirectDaemon* daemon) {
   daemon->is_leaving = true;
   SendToAll(NewMessage(daemon), daemon);
--- a/rosemaryhook/direct_broadcast.h
+++ b/rosemaryhook/direct_broadcast.h
@@ -37,6 +37,9 @@
 // Announces to all hosts that this one gives no more orders.
 void SendLeaving(DirectDaemon* daemon);
 
+// Tells all hosts that a brittle runner has just refused a request.
+void SendRefusedBy(const std::string& runner, DirectDaemon* daemon);
+
 // Requests the load of an adapter: from this host if it owns the runner, from
 // the host that owns it otherwise.
 void SendLoadRequest(const LoadRequest& load_request, DirectDaemon* daemon);
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -14,6 +14,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/answer_match.h"
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
@@ -438,6 +439,9 @@
   AttemptOutcome outcome = MakeOutcome(
       AttemptEnd::kNotRun, "refused with " + std::to_string(head.status));
   const auto answer = platform::ParseRunnerAnswer(head);
+  if (!answer.is_other_runner) {
+    RecordFullServer(view->entry.id, call.daemon.get());
+  }
   if (answer.is_other_runner && answer.runner_id.empty()) {
     outcome.lacks_adapter = !call.headers.adapter.empty();
   } else if (answer.is_other_runner) {
@@ -580,6 +584,7 @@
   const bool is_prompt_cached =
       !call.shared_prompt.empty() &&
       HasRecentPrompt(view->recent_prompts, call.shared_prompt, now);
+  RecordBrittleSend(view->own.running, now, &view->brittle);
   ScopedRequestLoad load(
       view, call.headers.adapter,
       call.headers.prompt_tokens - (is_prompt_cached ? call.shared_tokens : 0));
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -191,6 +191,8 @@
   std::map<std::string, Time> avoided_peers;
   Signal broadcast_signal;  // wakes the broadcast loop
 
+  std::map<std::string, BrittleStatement> brittle_services;  // by service
+
   // Ways to the backend servers (direct_paths.h).
   ServerReach reach;
   AvoidedHelpers avoided_helpers;
--- a/rosemaryhook/direct_limits.cc
+++ b/rosemaryhook/direct_limits.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/log.h"
 
 namespace rosemaryhook {
@@ -92,6 +93,18 @@
                         is_in_force ? "state=\"named\"" : "state=\"ended\"");
 }
 
+void LogBrittle(const std::string& service,
+                const std::string& source,
+                DirectDaemon* daemon) {
+  const BrittleStatement& statement = daemon->brittle_services[service];
+  Log("brittle", {{"service", service},
+                  {"state", statement.refusals_per_s ? "named" : "ended"},
+                  {"refusals_per_s",
+                   fmt::format("{:.2f}", statement.refusals_per_s.value_or(0))},
+                  {"source", source},
+                  {"age_ms", Millis(Now() - statement.as_of)}});
+}
+
 }  // namespace
 
 void RecordLimitStatement(const RunnerStart& runner,
@@ -135,6 +148,55 @@
   }
 }
 
+void RecordBrittleStatement(const RunnerStart& runner,
+                            const platform::RunnerAnswer& answer,
+                            Time sent,
+                            DirectDaemon* daemon) {
+  const RunnerView* view = FindStart(runner, daemon);
+  if (view == nullptr) {
+    return;
+  }
+  const std::string& service = view->entry.service;
+  if (!answer.brittle_refusals_per_s &&
+      !daemon->brittle_services.contains(service)) {
+    return;
+  }
+  if (RecordBrittle(answer.brittle_refusals_per_s, sent, true,
+                    &daemon->brittle_services[service])) {
+    UpdateSendRates(daemon);
+    LogBrittle(service, "answer", daemon);
+  }
+}
+
+void RecordFullServer(const std::string& runner, DirectDaemon* daemon) {
+  const auto view = daemon->runners.find(runner);
+  if (view == daemon->runners.end() || !view->second.brittle.refusals_per_s) {
+    return;
+  }
+  // The refused request is still counted.
+  RecordNoRoom(view->second.own.running - 1, Now(), &view->second.brittle);
+  daemon->metrics.Count("brittle_refusals_total");
+  SendRefusedBy(runner, daemon);
+}
+
+void MergePeerBrittle(const PeerMessage& message,
+                      Time now,
+                      DirectDaemon* daemon) {
+  for (const std::string& runner : message.refused_by) {
+    const auto view = daemon->runners.find(runner);
+    if (view != daemon->runners.end()) {
+      RecordNoRoomElsewhere(now, &view->second.brittle);
+    }
+  }
+  for (const auto& [service, brittle] : message.brittle) {
+    if (RecordBrittle(brittle.refusals_per_s, now - brittle.age, false,
+                      &daemon->brittle_services[service])) {
+      UpdateSendRates(daemon);
+      LogBrittle(service, message.address, daemon);
+    }
+  }
+}
+
 void ScopedLimitedWait::Begin() {
   if (!place_) {
     place_ = {urgency_, ++daemon_->limited_waiter_number};
@@ -189,6 +251,11 @@
     if (now < view.cold_until || view.named_limit.per_s) {
       UpdateRate(id, reachable, limit_hosts, now, &view, *daemon);
     }
+    const auto brittle = daemon->brittle_services.find(view.entry.service);
+    if (brittle != daemon->brittle_services.end()) {
+      UpdateBrittle(id, view.entry.slots, brittle->second.refusals_per_s,
+                    limit_hosts, daemon->settings.peers, &view.brittle);
+    }
   }
 }
 
--- a/rosemaryhook/direct_limits.h
+++ b/rosemaryhook/direct_limits.h
@@ -28,6 +28,21 @@
                      Time now,
                      DirectDaemon* daemon);
 
+// Records what an answer says of how brittle the servers of the service are.
+void RecordBrittleStatement(const RunnerStart& runner,
+                            const platform::RunnerAnswer& answer,
+                            Time sent,
+                            DirectDaemon* daemon);
+
+// Records that a server refused a request for want of room, and tells the other
+// hosts if it is brittle.
+void RecordFullServer(const std::string& runner, DirectDaemon* daemon);
+
+// Applies what another host was told of that.
+void MergePeerBrittle(const PeerMessage& message,
+                      Time now,
+                      DirectDaemon* daemon);
+
 // Counts a request of `urgency` as waiting for limited backend servers of a
 // service during its lifetime.
 class ScopedLimitedWait {
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -223,6 +223,7 @@
     RecordAdapterSent(sent, now, daemon);
   }
   MergePeerLimits(message, now, daemon);
+  MergePeerBrittle(message, now, daemon);
   if (!message.parts.empty()) {
     MergeParts(message.parts, now, &daemon->prompt_suspects,
                &daemon->parts_changed);
--- a/rosemaryhook/direct_statements.cc
+++ b/rosemaryhook/direct_statements.cc
@@ -70,6 +70,9 @@
     RecordPauseStatement(runner, *answer.pause, daemon);
   }
   RecordLimitStatement(runner, answer, is_own, sent, daemon);
+  if (is_own) {
+    RecordBrittleStatement(runner, answer, sent, daemon);
+  }
 }
 
 void RecordControlAnswer(const RunnerStart& runner,
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -119,6 +119,29 @@
   return limits;
 }
 
+// Written like limits.
+Json BrittleToJson(const std::map<std::string, PeerBrittle>& brittle) {
+  Json json = Json::object();
+  for (const auto& [service, item] : brittle) {
+    json[service] =
+        Json::array({item.refusals_per_s.value_or(-1), Millis(item.age)});
+  }
+  return json;
+}
+
+std::map<std::string, PeerBrittle> BrittleFromJson(const Json& json) {
+  std::map<std::string, PeerBrittle> brittle;
+  for (const auto& [service, item] : json.items()) {
+    PeerBrittle read;
+    if (const auto per_s = item.at(0).get<double>(); per_s >= 0) {
+      read.refusals_per_s = per_s;
+    }
+    read.age = std::chrono::milliseconds(item.at(1).get<int64_t>());
+    brittle[service] = read;
+  }
+  return brittle;
+}
+
 PeerMessage DecodeMessage(const Json& json) {
   PeerMessage message;
   message.session = json.at("s").get<std::string>();
@@ -143,6 +166,8 @@
     message.load_requests.push_back(LoadRequestFromJson(item));
   }
   message.limits = LimitsFromJson(json.value("m", Json::object()));
+  message.brittle = BrittleFromJson(json.value("v", Json::object()));
+  message.refused_by = Field<std::set<std::string>>(json, "h");
   message.parts = json.value("k", Json::object());
   if (const auto probe = json.find("p"); probe != json.end()) {
     message.probe = {probe->at(0).get<int64_t>(),
@@ -194,6 +219,8 @@
   add("y", message.unreached);
   add("w", LoadRequestsToJson(message.load_requests));
   add("m", LimitsToJson(message.limits));
+  add("v", BrittleToJson(message.brittle));
+  add("h", message.refused_by);
   add("k", message.parts);
   if (message.probe.id != 0) {
     json["p"] = Json::array({message.probe.id, message.probe.runners});
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -64,6 +64,12 @@
   Duration age{};               // of the statement
 };
 
+// What a host was told of how brittle the servers of a service are.
+struct PeerBrittle {
+  std::optional<double> refusals_per_s;  // empty if that has ended
+  Duration age{};                        // of the statement
+};
+
 struct PeerMessage {
   std::string session;
   std::string address;  // ip:port for datagrams
@@ -88,8 +94,10 @@
   int64_t answered_probe = 0;  // id of the receiver's probe; 0 if none
   std::vector<SentRequest> sent;
   std::vector<ListUpdate> updates;
-  std::map<std::string, PeerLimit> limits;  // by runner
-  Json parts = Json::object();              // prompt_suspects.h
+  std::map<std::string, PeerLimit> limits;     // by runner
+  std::map<std::string, PeerBrittle> brittle;  // by service
+  std::set<std::string> refused_by;            // brittle runners, just now
+  Json parts = Json::object();                 // prompt_suspects.h
 };
 
 // Encodes a message as CBOR; ParsePeerMessage returns an error for bytes that
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -148,7 +148,8 @@
       continue;
     }
     ++choice->usable;
-    if (!HasReturnRoom(view.pause)) {
+    if (!HasReturnRoom(view.pause) ||
+        !HasRoom(view.brittle, view.own.running, now)) {
       choice->is_rate_limited = true;
       continue;
     }
@@ -413,6 +414,7 @@
     const auto view = runners.find(id);
     if (view == runners.end() || !IsUsable(view->second, wanted, now) ||
         !IsHeld(view->second, wanted) || !HasReturnRoom(view->second.pause) ||
+        !HasRoom(view->second.brittle, view->second.own.running, now) ||
         (IsPaced(view->second, now) &&
          !HasSendAllowance(view->second.send_rate, now))) {
       continue;
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -25,6 +25,7 @@
 #include <string>
 #include <vector>
 
+#include "rosemaryhook/brittle_server.h"
 #include "rosemaryhook/named_limit.h"
 #include "rosemaryhook/runner_entry.h"
 #include "rosemaryhook/runner_health.h"
@@ -82,6 +83,7 @@
   bool is_limited = false;  // by `named_limit`, also after its end
   SendRate send_rate;       // while it is cold or limited
   SendPause pause;
+  BrittleServer brittle;
   // Starts of the lifetimes in which an answer said that the server leaves.
   std::set<int64_t> leaving_starts_ms;
   HeldAdapters held;
