Date the lists of other hosts by when their messages were sent

Cause, by reading: a list older than 1.5 s counted as current if all hosts were reachable. A host that stood still finds datagrams in its socket that were sent before and during the pause; the first of them made all hosts seem reachable now, before the update of the list behind them was read. Then the one version that it knew bound the take-up.

Change: messages say up to which version their sender knows the list, and receivers estimate when they were sent by the age of the session that they carry. An old list counts only if no reachable host knew a newer one 1.5 s ago or later. Static checks compare both bounds with the time before streams begin at a new version. While the store answers nobody that still holds.

Evidence: a table of cases (list_trust).

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -68,6 +68,7 @@
        Now() - daemon->runner_contact.fresh < kStoreReachableWindow);
   const Time now = Now();
   message.is_cut_off = IsCutOff(daemon->reach, now);
+  message.list_version = daemon->runner_contact.version;
   daemon->message_times[message.number] = now;
   while (now - daemon->message_times.begin()->second > kMessageTimeRetention) {
     daemon->message_times.erase(daemon->message_times.begin());
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -89,13 +89,24 @@
   PeerHost& host = daemon->hosts[message.session];
   const std::string operators =
       message.operators.empty() ? host.operators : message.operators;
+  const Time started = host.session.empty()
+                           ? now - message.age
+                           : std::min(host.started, now - message.age);
   const Time last_broadcast =
       message.updates.empty() ? host.last_broadcast : now;
-  host = {message.session,     message.address,
-          message.zone,        now,
-          message.is_leaving,  message.is_store_reachable,
-          operators,           last_broadcast,
-          message.is_draining, message.is_cut_off};
+  host = {message.session,
+          message.address,
+          message.zone,
+          now,
+          message.is_leaving,
+          message.is_store_reachable,
+          operators,
+          last_broadcast,
+          message.is_draining,
+          message.is_cut_off,
+          started + message.age,
+          started,
+          message.list_version};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
--- a/rosemaryhook/direct_streams.cc
+++ b/rosemaryhook/direct_streams.cc
@@ -64,16 +64,24 @@
   return Millis(time.time_since_epoch()) + daemon.store_clock_offset_ms;
 }
 
+// No stream begins at a version before all hosts whose lists count as current
+// know of it.
+static_assert(kMaxListAge < kNewVersionWait);
+static_assert(kMaxPeerListAge < kNewVersionWait);
+
 // Whether no host can know of a version that this host does not know, apart
-// from versions at which no stream may begin yet. While the store answers
-// nobody, the lists of all hosts are equally old.
+// from versions at which no stream may begin yet.
 bool IsListCurrent(const DirectDaemon& daemon, Time now) {
   if (IsListTrusted(daemon.runner_contact.fresh, Time(), now)) {
     return true;
   }
+  const StoreContact& contact = daemon.runner_contact;
   const Quorum quorum = FleetQuorum(daemon, now);
   return daemon.has_joined && quorum.reachable == quorum.hosts &&
-         !HasGap(daemon.runner_contact);
+         !HasGap(contact) &&
+         IsListOfAll(contact.version,
+                     now - QuorumTimeout(daemon.host_addresses.size()),
+                     daemon.hosts, now);
 }
 
 // The version that serves alone and always has, as far as streams go that can
--- a/rosemaryhook/list_sharing.cc
+++ b/rosemaryhook/list_sharing.cc
@@ -37,6 +37,18 @@
   return now - fresh <= kMaxListAge || failed_read > fresh;
 }
 
+bool IsListOfAll(int64_t version,
+                 Time seen_since,
+                 const std::map<std::string, PeerHost>& hosts,
+                 Time now) {
+  return std::all_of(hosts.begin(), hosts.end(), [&](const auto& entry) {
+    const PeerHost& host = entry.second;
+    return host.last_seen < seen_since ||
+           (now - host.last_sent <= kMaxPeerListAge &&
+            host.list_version <= version);
+  });
+}
+
 UpdateUse ClassifyUpdate(int64_t from, int64_t to, int64_t known) {
   if (known == 0 || from > known) {
     return UpdateUse::kGap;
--- a/rosemaryhook/list_sharing.h
+++ b/rosemaryhook/list_sharing.h
@@ -52,6 +52,19 @@
 // broadcast, while this host's own reads take long.
 bool IsListTrusted(Time fresh, Time failed_read, Time now);
 
+// Whether none of the hosts that were seen since `seen_since` knows a newer
+// list of backend servers than this one, which knows it up to `version`. So it
+// is while the store answers nobody. `hosts` is keyed by session.
+//
+// A host that did not run finds messages in its socket that were sent before,
+// and one that was cut off has missed the updates. So it counts when messages
+// were sent, and what their senders knew then.
+constexpr Duration kMaxPeerListAge = std::chrono::milliseconds(1500);
+bool IsListOfAll(int64_t version,
+                 Time seen_since,
+                 const std::map<std::string, PeerHost>& hosts,
+                 Time now);
+
 // What to do with a list update, which has the rows that changed between two
 // versions of the store.
 enum class UpdateUse {
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -154,6 +154,7 @@
   message.is_leaving = json.value("l", false);
   message.is_store_reachable = json.value("b", false);
   message.is_cut_off = json.value("x", false);
+  message.list_version = json.value("j", int64_t{0});
   message.operators = json.value("e", "");
   message.updates = UpdatesFromJson(json.value("d", Json::array()));
   message.tokens_used = Field<std::map<std::string, double>>(json, "t");
@@ -204,6 +205,9 @@
   if (message.is_store_reachable) {
     json["b"] = true;
   }
+  if (message.list_version != 0) {
+    json["j"] = message.list_version;
+  }
   if (message.is_cut_off) {
     json["x"] = true;
   }
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -80,6 +80,7 @@
   bool is_leaving = false;          // gives no more orders
   bool is_store_reachable = false;  // the store answers this host
   bool is_cut_off = false;          // reaches no backend servers
+  int64_t list_version = 0;         // up to which it knows the list of servers
   std::string operators;            // ip:port; not in every message
   std::map<std::string, double> tokens_used;  // customer -> total of session
   std::map<std::string, RunnerLoad> loads;    // runner -> of this host
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -85,6 +85,11 @@
   Time last_broadcast = {};         // when it last broadcast a list update
   bool is_draining = false;         // is about to stop; accepts nothing new
   bool is_cut_off = false;          // reaches no backend servers
+  // Estimate of when its newest message was sent. Messages may wait in this
+  // host's socket while it does not run.
+  Time last_sent = {};
+  Time started = {};         // of the session, by the fastest message
+  int64_t list_version = 0;  // up to which it knew the list of servers then
 };
 
 // When and how a host may order its own runner.
--- a/rosemaryhook/testing/list_trust_test.cc
+++ b/rosemaryhook/testing/list_trust_test.cc
@@ -76,6 +76,35 @@
   }
 }
 
+// Guards against streams that went on at another software version: a host that
+// had stood still, or had been cut off, took its list for that of all hosts as
+// it heard from each of them.
+BOOST_AUTO_TEST_CASE(a_list_is_that_of_all_by_when_messages_were_sent) {
+  struct Case {
+    const char* name;
+    double last_seen;
+    double last_sent;
+    int64_t version;
+    bool is_list_of_all;
+  };
+  const std::vector<Case> cases{
+      {"an outage of the store", 20, 19.9, 7, true},
+      {"the other host knows less", 20, 19.9, 6, true},
+      {"the other host knows more", 20, 19.9, 8, false},
+      {"a message from before a pause", 20, 17, 7, false},
+      {"from just before the bound", 20, 18.6, 7, true},
+      {"a host that is silent", 15, 15, 9, true},  // FleetQuorum decides
+  };
+  for (const Case& c : cases) {
+    PeerHost host{"s", "a", "z", At(c.last_seen)};
+    host.last_sent = At(c.last_sent);
+    host.list_version = c.version;
+    BOOST_TEST(
+        IsListOfAll(7, At(19), {{"s", host}}, At(20)) == c.is_list_of_all,
+        c.name);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/order_process_test.cc
+++ b/rosemaryhook/testing/order_process_test.cc
@@ -3,6 +3,7 @@
 // over its caller's attempts. With real daemons and a fake platform whose
 // servers write the version into their events.
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <set>
 #include <thread>
 
@@ -386,6 +387,44 @@
              "complete " << after_start.complete);
 }
 
+// Guards against a host that goes by its list of before a pause: it stood still
+// while servers of another version joined and streams began there.
+BOOST_AUTO_TEST_CASE(a_host_that_stood_still_joins_no_versions) {
+  constexpr int kHosts = 3;
+  constexpr int kRounds = 4;
+  int complete = 0;
+  int joined = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    Site site({.port = 16300 + 100 * round,
+               .hosts = kHosts,
+               .runners = 4,
+               .services = 0});
+    site.Signal(site.host(0), SIGSTOP);
+    site.Fault(Software(0, 2, "v2"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000 + 700 * round));
+    std::map<std::string, std::future<std::string>> pending;
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string id = "still-" + std::to_string(i);
+      pending[id] = Async([&site, id, i] {
+        return BeginStream(site.Callers(1 + i % (kHosts - 1)), id);
+      });
+    }
+    BegunStreams streams;
+    for (auto& [id, bytes] : pending) {
+      streams[id] = bytes.get();
+    }
+    // The take-ups are the first that the host reads.
+    auto ends = Async([&] { return TakeUp(site, streams, 0, 1); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    site.Signal(site.host(0), SIGCONT);
+    const TakeUps taken = ends.get();
+    complete += taken.complete;
+    joined += taken.joined;
+  }
+  BOOST_TEST(joined == 0, joined);
+  BOOST_TEST(complete > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -148,6 +148,7 @@
   order/a_take_up_is_refused_once_its_version_is_gone
   order/a_take_up_without_a_record_is_refused
   order/one_version_alone_asks_nothing
+  order/a_host_that_stood_still_joins_no_versions
   lost_paths/callers_of_a_cut_host_are_served_like_the_others
   lost_paths/paths_that_come_and_go_run_no_request_twice
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
