--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -287,7 +287,10 @@
     if (IsTimeout(ec) && !is_own_end) {
       pool_->discarded += DiscardIdle(pool_, OwnPoolKey());
     }
-    co_return MakeError(Step::kConnect, ec);
+    const Error error = MakeError(Step::kConnect, ec);
+    // A helper that refuses says nothing of the server.
+    is_refused_ = is_refused_ && !is_tunneled_;
+    co_return error;
   }
   ++pool_->opened;
   beast::error_code ignored;
@@ -496,6 +499,8 @@
   is_refused_ = false;
   is_unreached_ = false;
   is_tunneled_ = false;
+  // Of a helper that gave no tunnel.
+  buffer_.clear();
   if (!call_.fresh_connection) {
     HttpPool::Idle idle = TakeIdle();
     stream_ = std::move(idle.stream);
