Take turns at brittle servers by the clock that hosts share

Found by a simulation of peaks: hosts without a slot of their own, in fleets larger than a server has slots, all tried at once after a calm time (190 refusals in a second with 195 hosts and N of 1). Tries now go in turn: each host has its part of an interval, by the store's clock.

--- a/rosemaryhook/brittle_server.cc
+++ b/rosemaryhook/brittle_server.cc
@@ -16,7 +16,7 @@
 constexpr double kTryPart = 0.5;
 
 // Longest time between two tries.
-constexpr Duration kMaxTryInterval = std::chrono::minutes(1);
+constexpr Duration kMaxTryInterval = std::chrono::hours(1);
 
 // The number of hosts that rank before this one for the server.
 int RankOf(const std::string& server,
@@ -37,6 +37,13 @@
       1e6 * (per_s * longest <= seconds ? longest : seconds / per_s)));
 }
 
+bool IsTurn(const BrittleServer& brittle, Time now) {
+  const Duration at =
+      (now.time_since_epoch() + brittle.clock_offset) % brittle.interval;
+  return at >= brittle.turn_begin &&
+         at < brittle.turn_begin + brittle.turn_length;
+}
+
 }  // namespace
 
 bool RecordBrittle(std::optional<double> refusals_per_s,
@@ -56,6 +63,7 @@
                    const std::optional<double>& refusals_per_s,
                    const std::vector<std::string>& hosts,
                    const std::string& self,
+                   Duration clock_offset,
                    BrittleServer* brittle) {
   if (!refusals_per_s) {
     *brittle = {};
@@ -65,27 +73,25 @@
   const int rank = RankOf(server, hosts, self);
   brittle->refusals_per_s = *refusals_per_s / count;
   brittle->share = slots / count + (rank < slots % count ? 1 : 0);
-  brittle->phase = static_cast<double>(rank) / count;
+  brittle->interval = TryInterval(*brittle->refusals_per_s);
+  brittle->turn_length = brittle->interval / count;
+  brittle->turn_begin = brittle->turn_length * rank;
+  brittle->clock_offset = clock_offset;
 }
 
 bool HasRoom(const BrittleServer& brittle, int in_progress, Time now) {
   return !brittle.refusals_per_s ||
          (now >= brittle.full_until &&
-          (in_progress < brittle.share || now >= brittle.next_try));
+          (in_progress < brittle.share ||
+           (now >= brittle.next_try && IsTurn(brittle, now))));
 }
 
 void RecordBrittleSend(int in_progress, Time now, BrittleServer* brittle) {
   if (!brittle->refusals_per_s) {
     return;
   }
-  const Duration interval = TryInterval(*brittle->refusals_per_s);
   if (in_progress >= brittle->share) {
-    brittle->next_try = now + interval;
-  } else if (in_progress + 1 >= brittle->share && now >= brittle->next_try) {
-    // In a peak all hosts use up their shares at the same moment.
-    brittle->next_try =
-        now + Duration(static_cast<int64_t>(
-                  brittle->phase * static_cast<double>(interval.count())));
+    brittle->next_try = now + brittle->turn_length;
   }
 }
 
--- a/rosemaryhook/brittle_server.h
+++ b/rosemaryhook/brittle_server.h
@@ -38,7 +38,12 @@
 struct BrittleServer {
   std::optional<double> refusals_per_s;  // that this host may cause
   int share = 0;                         // of its slots, for this host
-  double phase = 0;  // from 0 to 1, spread evenly over the hosts
+  // The turn of this host to try beyond its share: the beginning and the length
+  // of its part of each interval, by the clock that all hosts share.
+  Duration interval{};
+  Duration turn_begin{};
+  Duration turn_length{};
+  Duration clock_offset{};  // of that clock against this host's
   Time full_until;
   Time next_try;  // of a request beyond the share
 };
@@ -52,12 +57,14 @@
 
 // Sets this host's share of a server's slots, and of the refusals that the
 // server bears. The shares of all hosts sum up to the slots. `hosts` are the
-// names of all hosts that may send, `self` among them.
+// names of all hosts that may send, `self` among them. `clock_offset` is that
+// of a clock that they share against this host's.
 void UpdateBrittle(const std::string& server,
                    int slots,
                    const std::optional<double>& refusals_per_s,
                    const std::vector<std::string>& hosts,
                    const std::string& self,
+                   Duration clock_offset,
                    BrittleServer* brittle);
 
 // Whether a request may be sent while `in_progress` of this host are.
--- a/rosemaryhook/direct_limits.cc
+++ b/rosemaryhook/direct_limits.cc
@@ -254,7 +254,9 @@
     const auto brittle = daemon->brittle_services.find(view.entry.service);
     if (brittle != daemon->brittle_services.end()) {
       UpdateBrittle(id, view.entry.slots, brittle->second.refusals_per_s,
-                    limit_hosts, daemon->settings.peers, &view.brittle);
+                    limit_hosts, daemon->settings.peers,
+                    std::chrono::milliseconds(daemon->store_clock_offset_ms),
+                    &view.brittle);
     }
   }
 }
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,7 +1,7 @@
 # Unit tests, which run in virtual time; one ctest entry per suite.
 set(UNIT_SUITES
   adapter_demand adapter_plan answer_head answer_match api backend_state
-  bounded_cbor claims contact deployment direct_state endless_requests
+  bounded_cbor brittle_server claims contact deployment direct_state endless_requests
   event_splitter fleet_state http_io idempotency joined_heads endless_bytes
   load_pacing list_trust membership peer_backlog peer_bounds peer_reads
   placement platform_codec rates prompt_suspects repeat_limits repeated_ids request_memory
@@ -153,7 +153,8 @@
   lost_paths/paths_that_come_and_go_run_no_request_twice
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
   lost_paths/an_answer_that_breaks_off_in_a_tunnel_is_not_complete
-  brittle_servers/servers_do_not_fall_over_in_a_peak)
+  brittle_servers/servers_do_not_fall_over_in_a_peak
+  brittle_servers/a_host_that_has_just_started_lets_no_server_fall_over)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
