Count a server that restarts while it is confirmed as crashed

Seen once in a run of all tests at a load of 30: the last request of crashing_requests/a_crashing_request_without_a_body was sent instead of refused at one host (2 checks). By reading: a refused connection is confirmed by another host; a server that had started again in the meantime was reached, and the crash was denied. Now this host tries once more: only what still refuses it has a path fault.

--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -117,11 +117,15 @@
 // another host reaches it: then only the path is at fault.
 awaitable<void> ConfirmCrash(DirectDaemonPtr daemon,
                              std::string runner,
-                             std::string incarnation) {
+                             std::string incarnation,
+                             std::string address) {
   const SecondOpinion opinion = co_await AskHelper(daemon, runner);
-  const bool is_path_fault =
-      opinion == SecondOpinion::kReached ||
-      (opinion == SecondOpinion::kUnknown && IsCutOff(daemon->reach, Now()));
+  bool is_path_fault =
+      opinion == SecondOpinion::kUnknown && IsCutOff(daemon->reach, Now());
+  if (opinion == SecondOpinion::kReached) {
+    // One that refuses no longer has crashed and started again.
+    is_path_fault = co_await RefusesConnections(address);
+  }
   const auto found = daemon->broken_runners.find(incarnation);
   if (found != daemon->broken_runners.end()) {
     found->second.is_confirming = false;
@@ -138,7 +142,7 @@
                             std::string incarnation,
                             std::string address) {
   if (co_await RefusesConnections(address)) {
-    co_return co_await ConfirmCrash(daemon, runner, incarnation);
+    co_return co_await ConfirmCrash(daemon, runner, incarnation, address);
   }
   // The runner only broke off some requests.
   const auto found = daemon->broken_runners.find(incarnation);
@@ -228,16 +232,18 @@
 
 void RecordAttemptEnd(const DirectCall& call, const AttemptOutcome& outcome) {
   DirectDaemon& daemon = *call.daemon;
+  const auto view = daemon.runners.find(call.last_runner);
   const auto known = daemon.broken_runners.find(call.attempt_incarnation);
   if (outcome.is_connection_refused && known != daemon.broken_runners.end() &&
       !known->second.has_crashed &&
       !std::exchange(known->second.is_confirming, true)) {
     asio::co_spawn(
         daemon.io,
-        ConfirmCrash(call.daemon, call.last_runner, call.attempt_incarnation),
+        ConfirmCrash(
+            call.daemon, call.last_runner, call.attempt_incarnation,
+            view == daemon.runners.end() ? "" : view->second.entry.address),
         asio::detached);
   }
-  const auto view = daemon.runners.find(call.last_runner);
   const bool is_leaving =
       view == daemon.runners.end() || view->second.entry.is_leaving ||
       HasSaidLeaving(view->second) || view->second.removed_at != Time();
