--- a/rosemaryhook/testing/brittle_server_test.cc
+++ b/rosemaryhook/testing/brittle_server_test.cc
@@ -15,6 +15,7 @@
 
 std::vector<std::string> HostNames(int count) {
   std::vector<std::string> hosts;
+  hosts.reserve(count);
   for (int i = 0; i < count; ++i) {
     hosts.push_back("host-" + std::to_string(i));
   }
--- a/rosemaryhook/testing/brittle_servers_process_test.cc
+++ b/rosemaryhook/testing/brittle_servers_process_test.cc
@@ -116,6 +116,7 @@
   }
   const Time end = Now() + kPeak;
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<size_t>(kHosts) * test.callers);
   for (int i = 0; i < kHosts * test.callers; ++i) {
     callers.emplace_back([&, i] {
       for (int n = 0; Now() < end; ++n) {
@@ -141,7 +142,7 @@
   // The platform's rule: 2 falls and a tenth of the number of servers.
   BOOST_TEST(10 * falls <= 20 + kServers, test.name << ": " << falls);
   // Half of what the slots allow in the peak.
-  BOOST_TEST(2 * served >= kServers * kSlots * (kPeak / kWork),
+  BOOST_TEST(2 * served >= (kPeak / kWork) * kServers * kSlots,
              test.name << ": " << served);
 }
 
--- a/rosemaryhook/testing/late_refusals_process_test.cc
+++ b/rosemaryhook/testing/late_refusals_process_test.cc
@@ -278,7 +278,7 @@
       }
     }
   }
-  const size_t sent = 2 * kRequests * refusals.size() * copies.size();
+  const size_t sent = refusals.size() * copies.size() * 2 * kRequests;
   BOOST_TEST(servers.served > static_cast<int>(sent) / 2);
 }
 
--- a/rosemaryhook/testing/lost_paths_process_test.cc
+++ b/rosemaryhook/testing/lost_paths_process_test.cc
@@ -54,6 +54,7 @@
   // are reset.
   void Cut(const std::vector<int>& hosts, size_t stride, bool resets) {
     std::vector<std::string> sources;
+    sources.reserve(hosts.size());
     for (const int host : hosts) {
       sources.push_back(site.HostIp(host));
     }
--- a/rosemaryhook/testing/repeated_ids_test.cc
+++ b/rosemaryhook/testing/repeated_ids_test.cc
@@ -75,6 +75,7 @@
 
 BOOST_AUTO_TEST_CASE(the_ids_of_a_connection_are_bounded) {
   std::vector<std::string> ids;
+  ids.reserve(2500);
   for (int i = 0; i < 2500; ++i) {
     ids.push_back("id-" + std::to_string(i));
   }
