--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -18,9 +18,14 @@
 target_link_libraries(unit_tests PRIVATE
   rosemaryhook Boost::unit_test_framework)
 target_compile_definitions(unit_tests PRIVATE BOOST_TEST_DYN_LINK)
+# A case of joined_heads_test.cc that is listed in KNOWN-RED.txt by itself.
+set(LISTED_CASE joined_heads/nothing_is_read_after_an_answer_without_a_length)
 foreach(suite ${UNIT_SUITES})
-  add_test(NAME unit.${suite} COMMAND unit_tests --run_test=${suite})
+  add_test(NAME unit.${suite} COMMAND unit_tests --run_test=${suite}
+    --run_test=!${LISTED_CASE})
 endforeach()
+add_test(NAME unit.nothing_is_read_after_an_answer_without_a_length
+  COMMAND unit_tests --run_test=${LISTED_CASE})
 # In request_suspects_test.cc.
 add_test(NAME unit.long_request_suspects
   COMMAND unit_tests --run_test=long_request_suspects)
