Add failing tests of streams that are unknown after a kill of all hosts

The streams began within the last write of their hosts. The hosts have not read the versions from the store yet.

--- a/rosemaryhook/testing/order_process_test.cc
+++ b/rosemaryhook/testing/order_process_test.cc
@@ -158,6 +158,15 @@
   }
 }
 
+// Lists hosts that do not run. The intervals of a host grow with the fleet.
+void ListHosts(Site* site, int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string address = "127.1." + std::to_string(i / 250) + "." +
+                                std::to_string(1 + i % 250) + ":9";
+    site->Set("hosts", address, {{"zone", "z1"}});
+  }
+}
+
 BOOST_AUTO_TEST_SUITE(order)
 
 // Guards against an answer whose stream breaks off and is continued by a server
@@ -387,6 +396,46 @@
              "complete " << after_start.complete);
 }
 
+// Guards against streams that are lost as all hosts are killed before they have
+// written what they know. The take-ups come at once, also where the fleet is
+// too large for each host to write often.
+BOOST_AUTO_TEST_CASE(streams_that_have_just_begun_outlive_all_hosts) {
+  constexpr int kHosts = 2;
+  int port = 17000;
+  for (const int listed : {0, 70, 1800}) {
+    Site site({.port = port, .hosts = 0, .runners = 4, .services = 0});
+    port += 100;
+    site.Fault(Software(2, 2, "v2"));
+    ListHosts(&site, listed);
+    std::this_thread::sleep_for(kListDelay);
+    site.AddHosts(kHosts);
+    const BegunStreams streams = BeginStreams(site, kHosts);
+    RestartHosts(&site, kHosts, [] {});
+    const TakeUps ends = TakeUp(site, streams, 0, kHosts);
+    BOOST_TEST(ends.joined == 0, listed << " hosts: joined " << ends.joined);
+    BOOST_TEST(ends.complete == kStreams,
+               listed << " hosts: complete " << ends.complete);
+  }
+}
+
+// Guards against take-ups that are refused after a start as the host has not
+// read yet that one version serves alone.
+BOOST_AUTO_TEST_CASE(a_host_of_a_large_fleet_soon_knows_the_versions) {
+  constexpr int kHosts = 2;
+  int port = 17300;
+  for (const int listed : {70, 240, 1800}) {
+    Site site({.port = port, .hosts = 0, .runners = 2, .services = 0});
+    port += 100;
+    ListHosts(&site, listed);
+    site.AddHosts(kHosts);
+    const BegunStreams streams = BeginStreams(site, kHosts);
+    RestartHosts(&site, kHosts, [] {});
+    const TakeUps ends = TakeUp(site, streams, 0, kHosts);
+    BOOST_TEST(ends.complete == kStreams,
+               listed << " hosts: complete " << ends.complete);
+  }
+}
+
 // Guards against a host that goes by its list of before a pause: it stood still
 // while servers of another version joined and streams began there.
 BOOST_AUTO_TEST_CASE(a_host_that_stood_still_joins_no_versions) {
