Log why the version of a taken-up stream is not known

Refused take-ups logged source=unknown alone, which does not tell a row that was never written from one that was not found. The line now has why=no_row, unusable_row, read_failed, many_look_ups or no_id. Decisions are unchanged.

--- a/rosemaryhook/direct_streams.cc
+++ b/rosemaryhook/direct_streams.cc
@@ -98,11 +98,29 @@
   return versions->second.begin()->first;
 }
 
-void LogBound(const DirectCall& call, const char* source) {
+// Why the version of a stream is not known.
+enum class UnknownReason {
+  kNoId,         // the caller did not name the stream's first request
+  kManyLookUps,  // kMaxLookUps are in progress
+  kReadFailed,   // the store did not answer in time
+  kNoRow,        // the stream's row is not there, as far as it was read
+  kUnusableRow,  // it is too old, or cannot be read
+};
+
+std::string_view UnknownReasonName(UnknownReason reason) {
+  constexpr std::string_view kNames[] = {
+      "no_id", "many_look_ups", "read_failed", "no_row", "unusable_row"};
+  return kNames[static_cast<size_t>(reason)];
+}
+
+void LogBound(const DirectCall& call,
+              const char* source,
+              std::string_view reason = "") {
   Log("stream_bound", {{"id", call.headers.request_id},
                        {"resumes", call.headers.resumes},
                        {"software", call.stream_software.value_or("")},
-                       {"source", source}});
+                       {"source", source},
+                       {"why", reason}});
 }
 
 void BindTo(const std::string& version, const char* source, DirectCall* call) {
@@ -131,16 +149,17 @@
   co_return co_await ReadRange(peer_store, range, deadline);
 }
 
-// The version of a stream by its row; empty optional if the row tells none.
-std::optional<std::string> VersionOfRow(const StoreRows& rows,
-                                        const std::string& key) {
+using StreamVersion = std::variant<std::string, UnknownReason>;
+
+// The version of a stream by its row.
+StreamVersion VersionOfRow(const StoreRows& rows, const std::string& key) {
   if (rows.rows.empty() || rows.rows.front().key != key) {
-    return std::nullopt;
+    return UnknownReason::kNoRow;
   }
   const auto row = ParseStreamRow(rows.rows.front().value);
   if (Failure(row) != nullptr ||
       !IsCurrentRow(std::get<StreamRow>(row), rows.clock_ms)) {
-    return std::nullopt;
+    return UnknownReason::kUnusableRow;
   }
   return std::get<StreamRow>(row).version;
 }
@@ -159,12 +178,17 @@
 };
 
 // Reads the version of the call's stream from the store.
-awaitable<std::optional<std::string>> ReadVersion(DirectCall& call,
-                                                  Time deadline) {
+awaitable<StreamVersion> ReadVersion(DirectCall& call, Time deadline) {
+  if (call.stream_key.empty()) {
+    co_return UnknownReason::kNoId;
+  }
+  if (call.daemon->streams.look_ups > kMaxLookUps) {
+    co_return UnknownReason::kManyLookUps;
+  }
   const auto rows =
       co_await ReadStreamRow(*call.daemon, call.stream_key, deadline);
   if (Failure(rows) != nullptr) {
-    co_return std::nullopt;
+    co_return UnknownReason::kReadFailed;
   }
   co_return VersionOfRow(std::get<StoreRows>(rows), call.stream_key);
 }
@@ -186,27 +210,26 @@
 }
 
 // Binds the call, which waits for a record that may be on its way and, just
-// after a start, for the versions. Returns whether it is bound.
-awaitable<bool> BindInTime(DirectCall& call) {
+// after a start, for the versions. Returns why it is not bound.
+awaitable<std::optional<UnknownReason>> BindInTime(DirectCall& call) {
   DirectDaemon& daemon = *call.daemon;
   const Time deadline = std::min(call.deadline, Now() + kLookUpTime);
   const ScopedLookUp look_up(&daemon);
   while (!BindByMemory(&call)) {
-    const bool has_key = !call.stream_key.empty();
-    if (has_key && daemon.streams.look_ups <= kMaxLookUps) {
-      if (const auto version = co_await ReadVersion(call, deadline)) {
-        BindTo(*version, "store", &call);
-        co_return true;
-      }
+    const StreamVersion read = co_await ReadVersion(call, deadline);
+    if (const auto* version = std::get_if<std::string>(&read)) {
+      BindTo(*version, "store", &call);
+      co_return std::nullopt;
     }
-    const bool can_learn = has_key || !daemon.streams.is_history_read;
+    const bool can_learn =
+        !call.stream_key.empty() || !daemon.streams.is_history_read;
     if (!can_learn || call.is_disconnected ||
         Now() + kLookUpPause >= deadline) {
-      co_return false;
+      co_return std::get<UnknownReason>(read);
     }
     co_await Sleep(kLookUpPause);
   }
-  co_return true;
+  co_return std::nullopt;
 }
 
 void LogVersions(const std::string& service, const ServedVersions& versions) {
@@ -412,11 +435,12 @@
     call.stream_key =
         StreamKey(call.service->name, call.customer, call.headers.resumes);
   }
-  if (co_await BindInTime(call)) {
+  const std::optional<UnknownReason> unknown = co_await BindInTime(call);
+  if (!unknown) {
     co_return std::nullopt;
   }
   daemon.metrics.Count("stream_take_ups_total", "source=\"unknown\"");
-  LogBound(call, "unknown");
+  LogBound(call, "unknown", UnknownReasonName(*unknown));
   co_return MakeDirectRefusal(503, "stream_version_unknown", kMinRetryAfter);
 }
 
