--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -14,6 +14,7 @@
 #include "rosemaryhook/direct_peers.h"
 #include "rosemaryhook/direct_requests.h"
 #include "rosemaryhook/direct_store.h"
+#include "rosemaryhook/direct_stream_records.h"
 #include "rosemaryhook/direct_streams.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/direct_tokens.h"
@@ -316,6 +317,7 @@
   StartPeerLoops(daemon);
   StartTokenRecord(daemon);
   StartBlockingParts(daemon);
+  StartStreamVersions(daemon);
   StartStreamRecords(daemon);
   StartPaths(daemon);
   const auto executor = daemon->io.get_executor();
--- a/rosemaryhook/direct_streams.h
+++ b/rosemaryhook/direct_streams.h
@@ -1,7 +1,6 @@
 // Keeps streams at the version of the software that began them
 // (stream_versions.h): binds the attempts of a call, looks up streams that
-// callers take up, and keeps the records in the store while several versions
-// serve.
+// callers take up, and keeps the versions in service.
 #ifndef ROSEMARYHOOK_DIRECT_STREAMS_H_
 #define ROSEMARYHOOK_DIRECT_STREAMS_H_
 
@@ -30,9 +29,8 @@
 // of the list, so that no stream begins at a new version before it is known.
 void RecordListedVersions(Time now, DirectDaemon* daemon);
 
-// Starts the coroutine that keeps the versions and writes the records; it runs
-// until `is_stopping`.
-void StartStreamRecords(const std::shared_ptr<DirectDaemon>& daemon);
+// Starts the coroutine that keeps the versions; it runs until `is_stopping`.
+void StartStreamVersions(const std::shared_ptr<DirectDaemon>& daemon);
 
 }  // namespace rosemaryhook
 
