Write the record of a stream before its caller gets an event

Callers saw: after a power loss of all hosts during a release, streams that they took up again were refused (503, stream_version_unknown) while new ones began.

Cause: a stream that a caller holds an event of can be taken up, but its record, without which it cannot go on, was written later: every max(150 ms, hosts / 50 s) by each host, so after 1.44 s at 72 hosts and 4.8 s at 240. A stream lasts some 1.4 s. The interval bounds the transactions of all hosts together, as the store handles 200 a second in one part.

Ruled out: rows that are there and not found.

Change: a few hosts, the recorders, write the records of all. A host sends the record of a new stream to its recorder, which writes up to 100 in one transaction and confirms them; the first event waits for that, 150 ms at most. A recorder that is silent is avoided for 2 s and another one is asked. If that fails too the stream begins, the host writes the record itself as before, and no stream waits for the next second. Recorders are two and one more for each 100 hosts beyond 200; their transactions are 40 ms apart, and at most 150 a second in any fleet. Hosts of earlier versions are not asked. What hosts still write themselves takes turns by the clock: hosts that had started together wrote together, and 72 transactions of 5 ms held the recorders up.

Why it works: what a caller can come back for is in the store before the caller knows of it, so it does not matter when the hosts die.

A simulated power loss of 8 to 1,800 hosts is in stream_recorders_test.cc.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -69,6 +69,7 @@
   const Time now = Now();
   message.is_cut_off = IsCutOff(daemon->reach, now);
   message.list_version = daemon->runner_contact.version;
+  message.records_streams = true;
   daemon->message_times[message.number] = now;
   while (now - daemon->message_times.begin()->second > kMessageTimeRetention) {
     daemon->message_times.erase(daemon->message_times.begin());
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -379,7 +379,7 @@
                             : std::move(data);
     data.clear();
     if (forwards_complete_events && !ready.empty()) {
-      BindStream(&call);
+      co_await BindStream(call);
     }
     if (!co_await call.reply.Chunk(std::move(ready))) {
       exchange.Cancel();
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -29,6 +29,7 @@
 #include "rosemaryhook/settings.h"
 #include "rosemaryhook/signal.h"
 #include "rosemaryhook/store.h"
+#include "rosemaryhook/stream_recorders.h"
 #include "rosemaryhook/stream_versions.h"
 #include "rosemaryhook/token_limits.h"
 
@@ -100,19 +101,31 @@
   bool is_confirming = false;  // another host is asked whether it has crashed
 };
 
+// A stream whose events wait until its record is written.
+struct AwaitedRecord {
+  explicit AwaitedRecord(const asio::any_io_executor& executor)
+      : written(executor) {}
+  bool is_written = false;
+  Signal written;
+};
+
 // The versions in service and the streams that began at them
 // (direct_streams.h).
 struct StreamVersions {
   VersionHistory history;
   StreamRecords records;
+  std::multimap<std::string, AwaitedRecord*> awaited;  // by key
+  std::map<std::string, Time> avoided_recorders;       // address -> until when
+  Time waits_from;  // before this, streams do not wait for their records
   bool is_history_read = false;  // from the store, since the list has a gap
   Time read_due;
   Time list_current;  // when the list was last known to lack no version
   std::set<std::string> unwritten_versions;     // services
   std::map<std::string, int64_t> row_versions;  // by service; in the store
   Time sweep_due;
-  std::string sweep_from;  // key
-  int look_ups = 0;        // in the store, in progress
+  std::string sweep_from;   // key
+  int look_ups = 0;         // in the store, in progress
+  RecordRequests requests;  // of this and other hosts
 };
 
 // The place of a request that waits for limited runners: its urgency and its
@@ -126,7 +139,8 @@
       : io(context),
         peer_socket(context),
         broadcast_signal(context.get_executor()),
-        part_signal(context.get_executor()) {}
+        part_signal(context.get_executor()),
+        record_signal(context.get_executor()) {}
 
   asio::io_context& io;
   Settings settings;
@@ -214,6 +228,7 @@
   std::set<DirectCall*> running_calls;
 
   StreamVersions streams;
+  Signal record_signal;  // wakes the loop that writes `streams.requests`
 
   std::list<Signal*> runner_waiters;  // requests that wait for a runner
   // Service -> requests that wait for limited runners.
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -10,6 +10,7 @@
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_store.h"
+#include "rosemaryhook/direct_stream_records.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/task.h"
@@ -106,7 +107,8 @@
           message.is_cut_off,
           started + message.age,
           started,
-          message.list_version};
+          message.list_version,
+          message.records_streams};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
@@ -233,6 +235,8 @@
   for (const SentRequest& sent : message.sent) {
     RecordAdapterSent(sent, now, daemon);
   }
+  HandleRecordRequests(message, now, daemon);
+  RecordWritten(message.records_written, daemon);
   MergePeerLimits(message, now, daemon);
   MergePeerBrittle(message, now, daemon);
   if (!message.parts.empty()) {
--- a/rosemaryhook/direct_stream_records.cc
+++ b/rosemaryhook/direct_stream_records.cc
@@ -1,9 +1,12 @@
-// Each host writes the streams that it began. The first poller removes the rows
+// A host writes the streams that it began itself if no recorder has, or if they
+// began before a second version appeared. The first poller removes the rows
 // that killed hosts have left.
 #include "rosemaryhook/direct_stream_records.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/task.h"
@@ -13,8 +16,14 @@
 
 using DirectDaemonPtr = std::shared_ptr<DirectDaemon>;
 
-// Interval between writes of records. All hosts together write at most about
-// kMaxFleetFlushesPerS times a second.
+// Pause in which streams do not wait for their records, after one that was not
+// written in time. Bounds the delay while the store does not answer.
+constexpr Duration kWaitPause = std::chrono::seconds(1);
+
+constexpr size_t kMaxRowBytes = 1000;
+
+// Interval between writes of the records that no recorder has written. All
+// hosts together write at most about kMaxFleetFlushesPerS times a second.
 constexpr Duration kMinFlushInterval = std::chrono::milliseconds(150);
 constexpr int kMaxFleetFlushesPerS = 50;
 
@@ -34,17 +43,20 @@
                                          kMaxFleetFlushesPerS);
 }
 
+// The row of a stream. One that cannot be read tells no version.
+std::string RowOf(const StreamRecord& record, const DirectDaemon& daemon) {
+  return record.is_ambiguous
+             ? std::string("{}")
+             : EncodeStreamRow(
+                   {record.version, StoreClock(daemon, record.recorded)});
+}
+
 platform::RowBatch MakeBatch(const DirectDaemon& daemon,
                              const StreamWrites& writes) {
   platform::RowBatch batch{kStreamTable, kStreamPart, {}, writes.removes};
   for (const std::string& key : writes.puts) {
-    const StreamRecord& record = daemon.streams.records.by_key.at(key);
-    // A row that cannot be read tells no version.
     batch.puts.emplace_back(
-        key, record.is_ambiguous
-                 ? std::string("{}")
-                 : EncodeStreamRow(
-                       {record.version, StoreClock(daemon, record.recorded)}));
+        key, RowOf(daemon.streams.records.by_key.at(key), daemon));
   }
   return batch;
 }
@@ -111,6 +123,108 @@
   }
 }
 
+class ScopedAwaitedRecord {
+ public:
+  ScopedAwaitedRecord(const std::string& key, DirectDaemon* daemon)
+      : daemon_(daemon),
+        record_(daemon->io.get_executor()),
+        position_(daemon->streams.awaited.emplace(key, &record_)) {}
+  ~ScopedAwaitedRecord() { daemon_->streams.awaited.erase(position_); }
+  ScopedAwaitedRecord(const ScopedAwaitedRecord&) = delete;
+  ScopedAwaitedRecord& operator=(const ScopedAwaitedRecord&) = delete;
+
+  bool is_written() const { return record_.is_written; }
+
+  awaitable<void> Wait(Time deadline) {
+    while (!record_.is_written && Now() < deadline) {
+      co_await record_.written.Wait(deadline);
+    }
+  }
+
+ private:
+  DirectDaemon* daemon_;
+  AwaitedRecord record_;
+  std::multimap<std::string, AwaitedRecord*>::iterator position_;
+};
+
+// Asks a recorder to write a record, and returns its address.
+std::string RequestRecord(const std::string& key, DirectDaemon* daemon) {
+  const std::string& self = daemon->settings.peers;
+  const StreamVersions& streams = daemon->streams;
+  std::string recorder =
+      ChooseRecorder(self, daemon->hosts, streams.avoided_recorders, Now());
+  const auto record = streams.records.by_key.find(key);
+  if (record == streams.records.by_key.end()) {
+    return recorder;
+  }
+  const std::string row = RowOf(record->second, *daemon);
+  if (recorder == self) {
+    AddRecordRequest({key, row, self, Now()}, &daemon->streams.requests);
+    daemon->record_signal.Notify();
+  } else {
+    PeerMessage message = NewMessage(daemon);
+    message.records.push_back({key, row});
+    SendPeerMessage(recorder, message, daemon);
+  }
+  return recorder;
+}
+
+// Tells the hosts that asked for them which records have been written.
+void ConfirmRecords(const std::vector<RecordRequest>& requests,
+                    DirectDaemon* daemon) {
+  std::map<std::string, std::vector<std::string>> keys;
+  for (const RecordRequest& request : requests) {
+    keys[request.from].push_back(request.key);
+  }
+  for (const auto& [address, written] : keys) {
+    if (address == daemon->settings.peers) {
+      RecordWritten(written, daemon);
+      continue;
+    }
+    PeerMessage message = NewMessage(daemon);
+    message.records_written = written;
+    SendPeerMessage(address, message, daemon);
+  }
+}
+
+awaitable<void> WriteRequests(DirectDaemon& daemon) {
+  const std::vector<RecordRequest> requests =
+      TakeRecordRequests(Now(), &daemon.streams.requests);
+  if (requests.empty()) {
+    co_return;
+  }
+  platform::RowBatch batch{kStreamTable, kStreamPart, {}, {}};
+  for (const RecordRequest& request : requests) {
+    batch.puts.emplace_back(request.key, request.row);
+  }
+  const Time begin = Now();
+  auto written = co_await WriteBatch(daemon.store, std::move(batch),
+                                     begin + kStoreTimeout);
+  daemon.metrics.Observe("record_write_seconds",
+                         std::chrono::duration<double>(Now() - begin).count());
+  if (!std::holds_alternative<Written>(written)) {
+    daemon.metrics.Count("record_writes_failed_total");
+    Log("record_write_failed", {{"rows", requests.size()}});
+    co_return;
+  }
+  daemon.metrics.Count("record_writes_total");
+  ConfirmRecords(requests, &daemon);
+}
+
+awaitable<void> ServeRequests(DirectDaemonPtr daemon) {
+  Time due;
+  while (!daemon->is_stopping) {
+    if (daemon->streams.requests.empty()) {
+      co_await daemon->record_signal.Wait(Time::max());
+    } else if (Now() < due) {
+      co_await Sleep(due - Now());
+    } else {
+      due = Now() + RecorderInterval(daemon->host_addresses.size());
+      co_await WriteRequests(*daemon);
+    }
+  }
+}
+
 awaitable<void> KeepRecords(DirectDaemonPtr daemon) {
   while (!daemon->is_stopping) {
     for (int i = 0; i < kMaxFlushesAtOnce; ++i) {
@@ -119,7 +233,10 @@
       }
     }
     co_await Sweep(*daemon);
-    co_await Sleep(FlushInterval(*daemon));
+    const Time now = Now();
+    co_await Sleep(
+        NextOwnWrite(daemon->settings.peers, FlushInterval(*daemon), now) -
+        now);
   }
 }
 
@@ -133,9 +250,68 @@
   return PollerRank(daemon.settings.peers, daemon.hosts, Now()) == 0;
 }
 
+awaitable<void> WriteBeforeEvents(DirectDaemon& daemon,
+                                  std::string service,
+                                  std::string key) {
+  StreamVersions& streams = daemon.streams;
+  const Time begin = Now();
+  if (CountVersions(streams.history, service) < 2 ||
+      begin < streams.waits_from) {
+    co_return;
+  }
+  TakeNewest(service, key, &streams.records);
+  ScopedAwaitedRecord record(key, &daemon);
+  const Time deadline = begin + kMaxRecordWait;
+  const std::string recorder = RequestRecord(key, &daemon);
+  co_await record.Wait(
+      std::min(deadline, begin + RecordTimeout(daemon.host_addresses.size())));
+  if (!record.is_written() && recorder != daemon.settings.peers) {
+    streams.avoided_recorders[recorder] = Now() + kRecorderAvoidance;
+    Log("recorder_silent", {{"address", recorder}, {"key", key}});
+    RequestRecord(key, &daemon);
+    co_await record.Wait(deadline);
+  }
+  const Time now = Now();
+  RecordWrites({{key}, {}}, record.is_written(), now, &streams.records);
+  daemon.metrics.Observe("record_wait_seconds",
+                         std::chrono::duration<double>(now - begin).count());
+  if (!record.is_written()) {
+    streams.waits_from = now + kWaitPause;
+    daemon.metrics.Count("streams_begun_unrecorded_total");
+    Log("stream_unrecorded", {{"key", key}, {"wait_ms", Millis(now - begin)}});
+  }
+}
+
+void HandleRecordRequests(const PeerMessage& message,
+                          Time now,
+                          DirectDaemon* daemon) {
+  for (const PeerRecord& record : message.records) {
+    // The store refuses a whole transaction for one entry that is too long.
+    if (record.key.size() == kStreamKeyLength &&
+        record.row.size() <= kMaxRowBytes) {
+      AddRecordRequest({record.key, record.row, message.address, now},
+                       &daemon->streams.requests);
+    }
+  }
+  if (!message.records.empty()) {
+    daemon->record_signal.Notify();
+  }
+}
+
+void RecordWritten(const std::vector<std::string>& keys, DirectDaemon* daemon) {
+  for (const std::string& key : keys) {
+    const auto [begin, end] = daemon->streams.awaited.equal_range(key);
+    for (auto awaited = begin; awaited != end; ++awaited) {
+      awaited->second->is_written = true;
+      awaited->second->written.Notify();
+    }
+  }
+}
+
 void StartStreamRecords(const DirectDaemonPtr& daemon) {
-  StartLoop(daemon->io.get_executor(), "streams",
-            [=] { return KeepRecords(daemon); });
+  const auto executor = daemon->io.get_executor();
+  StartLoop(executor, "streams", [=] { return KeepRecords(daemon); });
+  StartLoop(executor, "recorder", [=] { return ServeRequests(daemon); });
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/direct_stream_records.h
+++ b/rosemaryhook/direct_stream_records.h
@@ -1,12 +1,15 @@
-// Keeps records of the streams that this host began in the store, while several
-// versions of a service serve (stream_versions.h).
+// Keeps records of streams in the store while several versions of a service
+// serve (stream_versions.h): a stream's record is written by a recorder
+// (stream_recorders.h) before its caller gets the first event.
 #ifndef ROSEMARYHOOK_DIRECT_STREAM_RECORDS_H_
 #define ROSEMARYHOOK_DIRECT_STREAM_RECORDS_H_
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "rosemaryhook/direct_daemon.h"
+#include "rosemaryhook/peer_message.h"
 
 namespace rosemaryhook {
 
@@ -21,7 +24,21 @@
 // Whether this host is the first that reads the store for the others.
 bool IsFirstPoller(const DirectDaemon& daemon);
 
-// Starts the coroutine that writes and removes records; it runs until
+// Has the record of a stream that was just recorded written, and waits until it
+// is, at most kMaxRecordWait. Does nothing while one version serves alone.
+awaitable<void> WriteBeforeEvents(DirectDaemon& daemon,
+                                  std::string service,
+                                  std::string key);
+
+// Records that other hosts ask this one to write.
+void HandleRecordRequests(const PeerMessage& message,
+                          Time now,
+                          DirectDaemon* daemon);
+
+// Wakes the streams of this host whose records, by key, have been written.
+void RecordWritten(const std::vector<std::string>& keys, DirectDaemon* daemon);
+
+// Starts the coroutines that write and remove records; they run until
 // `is_stopping`.
 void StartStreamRecords(const std::shared_ptr<DirectDaemon>& daemon);
 
--- a/rosemaryhook/direct_streams.cc
+++ b/rosemaryhook/direct_streams.cc
@@ -332,25 +332,28 @@
   co_return MakeDirectRefusal(503, "stream_version_unknown", kMinRetryAfter);
 }
 
-void BindStream(DirectCall* call) {
-  if (call->is_stream_recorded) {
-    return;
+awaitable<void> BindStream(DirectCall& call) {
+  if (std::exchange(call.is_stream_recorded, true)) {
+    co_return;
   }
-  call->is_stream_recorded = true;
-  DirectDaemon& daemon = *call->daemon;
-  const std::string& service = call->service->name;
-  const bool is_take_up = call->stream_software.has_value();
+  DirectDaemon& daemon = *call.daemon;
+  const std::string& service = call.service->name;
+  const bool is_take_up = call.stream_software.has_value();
   if (!is_take_up) {
-    call->stream_software = call->attempt_software;
-    call->stream_key =
-        StreamKey(service, call->customer, call->headers.request_id);
+    call.stream_software = call.attempt_software;
+    call.stream_key =
+        StreamKey(service, call.customer, call.headers.request_id);
     if (CountVersions(daemon.streams.history, service) > 1) {
-      LogBound(*call, "answer");
+      LogBound(call, "answer");
     }
   }
-  if (!call->stream_key.empty()) {
-    RecordStream(service, call->stream_key, *call->stream_software, Now(),
-                 &daemon.streams.records);
+  if (call.stream_key.empty()) {
+    co_return;
+  }
+  RecordStream(service, call.stream_key, *call.stream_software, Now(),
+               &daemon.streams.records);
+  if (!is_take_up) {
+    co_await WriteBeforeEvents(daemon, service, call.stream_key);
   }
 }
 
--- a/rosemaryhook/direct_streams.h
+++ b/rosemaryhook/direct_streams.h
@@ -23,7 +23,7 @@
 
 // Binds the call to the version of its newest attempt's runner, unless it is
 // bound, and records the stream. Called just before the caller gets an event.
-void BindStream(DirectCall* call);
+awaitable<void> BindStream(DirectCall& call);
 
 // Records the versions of the listed backend servers. Called with each change
 // of the list, so that no stream begins at a new version before it is known.
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -142,6 +142,14 @@
   return brittle;
 }
 
+Json RecordsToJson(const std::vector<PeerRecord>& records) {
+  Json json = Json::array();
+  for (const PeerRecord& record : records) {
+    json.push_back(Json::array({record.key, record.row}));
+  }
+  return json;
+}
+
 PeerMessage DecodeMessage(const Json& json) {
   PeerMessage message;
   message.session = json.at("s").get<std::string>();
@@ -155,6 +163,7 @@
   message.is_store_reachable = json.value("b", false);
   message.is_cut_off = json.value("x", false);
   message.list_version = json.value("j", int64_t{0});
+  message.records_streams = json.value("R", false);
   message.operators = json.value("e", "");
   message.updates = UpdatesFromJson(json.value("d", Json::array()));
   message.tokens_used = Field<std::map<std::string, double>>(json, "t");
@@ -170,6 +179,11 @@
   message.brittle = BrittleFromJson(json.value("v", Json::object()));
   message.refused_by = Field<std::set<std::string>>(json, "h");
   message.parts = json.value("k", Json::object());
+  for (const Json& item : json.value("S", Json::array())) {
+    message.records.push_back(
+        {item.at(0).get<std::string>(), item.at(1).get<std::string>()});
+  }
+  message.records_written = Field<std::vector<std::string>>(json, "W");
   if (const auto probe = json.find("p"); probe != json.end()) {
     message.probe = {probe->at(0).get<int64_t>(),
                      probe->at(1).get<std::vector<std::string>>()};
@@ -211,6 +225,9 @@
   if (message.is_cut_off) {
     json["x"] = true;
   }
+  if (message.records_streams) {
+    json["R"] = true;
+  }
   if (!message.operators.empty()) {
     json["e"] = message.operators;
   }
@@ -226,6 +243,8 @@
   add("v", BrittleToJson(message.brittle));
   add("h", message.refused_by);
   add("k", message.parts);
+  add("S", RecordsToJson(message.records));
+  add("W", message.records_written);
   if (message.probe.id != 0) {
     json["p"] = Json::array({message.probe.id, message.probe.runners});
   }
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -70,6 +70,12 @@
   Duration age{};                        // of the statement
 };
 
+// A stream's record that the receiver is asked to write.
+struct PeerRecord {
+  std::string key;
+  std::string row;
+};
+
 struct PeerMessage {
   std::string session;
   std::string address;  // ip:port for datagrams
@@ -81,6 +87,7 @@
   bool is_store_reachable = false;  // the store answers this host
   bool is_cut_off = false;          // reaches no backend servers
   int64_t list_version = 0;         // up to which it knows the list of servers
+  bool records_streams = false;     // writes records for other hosts
   std::string operators;            // ip:port; not in every message
   std::map<std::string, double> tokens_used;  // customer -> total of session
   std::map<std::string, RunnerLoad> loads;    // runner -> of this host
@@ -99,6 +106,8 @@
   std::map<std::string, PeerBrittle> brittle;  // by service
   std::set<std::string> refused_by;            // brittle runners, just now
   Json parts = Json::object();                 // prompt_suspects.h
+  std::vector<PeerRecord> records;
+  std::vector<std::string> records_written;  // keys, for the receiver
 };
 
 // Encodes a message as CBOR; ParsePeerMessage returns an error for bytes that
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -88,8 +88,9 @@
   // Estimate of when its newest message was sent. Messages may wait in this
   // host's socket while it does not run.
   Time last_sent = {};
-  Time started = {};         // of the session, by the fastest message
-  int64_t list_version = 0;  // up to which it knew the list of servers then
+  Time started = {};             // of the session, by the fastest message
+  int64_t list_version = 0;      // up to which it knew the list of servers then
+  bool records_streams = false;  // writes records for others on request
 };
 
 // When and how a host may order its own runner.
--- a/rosemaryhook/stream_versions.cc
+++ b/rosemaryhook/stream_versions.cc
@@ -15,8 +15,6 @@
 
 using Json = nlohmann::json;
 
-constexpr size_t kKeyBytes = 16;
-
 bool HasExpired(Time recorded, Time now) {
   return now - recorded > kStreamLifetime;
 }
@@ -195,7 +193,7 @@
          digest);
   constexpr char kDigits[] = "0123456789abcdef";
   std::string key;
-  for (size_t i = 0; i < kKeyBytes; ++i) {
+  for (size_t i = 0; i < kStreamKeyLength / 2; ++i) {
     key += kDigits[digest[i] >> 4];
     key += kDigits[digest[i] & 15];
   }
@@ -227,6 +225,15 @@
              : &found->second;
 }
 
+void TakeNewest(const std::string& service,
+                const std::string& key,
+                StreamRecords* records) {
+  auto& keys = records->unwritten[service];
+  if (!keys.empty() && keys.back() == key) {
+    keys.pop_back();
+  }
+}
+
 StreamWrites TakeWrites(const VersionHistory& history,
                         Time now,
                         StreamRecords* records) {
--- a/rosemaryhook/stream_versions.h
+++ b/rosemaryhook/stream_versions.h
@@ -88,6 +88,7 @@
 void MergeVersions(const ServedVersions& added, ServedVersions* versions);
 
 // Key of the stream that began with a request: a hash, in hexadecimal.
+constexpr size_t kStreamKeyLength = 32;
 std::string StreamKey(std::string_view service,
                       std::string_view customer,
                       std::string_view request_id);
@@ -121,6 +122,12 @@
                                const std::string& key,
                                Time now);
 
+// Takes a stream that was just recorded from those to be written. The caller
+// writes its row, and reports the result to RecordWrites.
+void TakeNewest(const std::string& service,
+                const std::string& key,
+                StreamRecords* records);
+
 struct StreamWrites {
   std::vector<std::string> puts;  // keys of `by_key`, newest first
   std::vector<std::string> removes;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -9,7 +9,7 @@
   runner_ownership_leaving send_pause server_path send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
   token_limits_restart token_record named_limit task request_framing
-  stream_versions)
+  stream_recorders stream_versions)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
@@ -154,6 +154,8 @@
   order/a_take_up_without_a_record_is_refused
   order/one_version_alone_asks_nothing
   order/a_host_that_stood_still_joins_no_versions
+  order/streams_that_have_just_begun_outlive_all_hosts
+  order/a_host_of_a_large_fleet_soon_knows_the_versions
   lost_paths/callers_of_a_cut_host_are_served_like_the_others
   lost_paths/paths_that_come_and_go_run_no_request_twice
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
