Add failing tests of streams that began before a release

While one version serves alone nothing is written. A stream that began then has no record until each host has written its own, up to hosts / 50 s after the second version appeared; before that it is unknown after a kill of all hosts.

--- a/rosemaryhook/testing/order_process_test.cc
+++ b/rosemaryhook/testing/order_process_test.cc
@@ -426,6 +426,75 @@
   }
 }
 
+// Guards against streams that are lost since a second version appears just
+// before all hosts are killed, or while none runs: they have no records.
+BOOST_AUTO_TEST_CASE(streams_of_before_a_release_outlive_all_hosts) {
+  constexpr int kHosts = 2;
+  struct Case {
+    std::string what;
+    int known_ms;  // from the release to the kill; -1: none runs meanwhile
+  };
+  const std::vector<Case> cases{{"while no host runs", -1},
+                                {"at the kill", 0},
+                                {"just before the kill", 500},
+                                {"once streams may begin there", 3000}};
+  int port = 17600;
+  for (const Case& test : cases) {
+    Site site({.port = port,
+               .hosts = 0,
+               .runners = 4,
+               .services = 0,
+               .rate = kAmpleRate,
+               .burst = kAmpleRate});
+    port += 100;
+    ListHosts(&site, 1800);
+    site.AddHosts(kHosts);
+    std::this_thread::sleep_for(kListDelay);
+    const BegunStreams streams = BeginStreams(site, kHosts);
+    if (test.known_ms >= 0) {
+      site.Fault(Software(2, 2, "v2"));
+      std::this_thread::sleep_for(std::chrono::milliseconds(test.known_ms));
+    }
+    RestartHosts(&site, kHosts, [&] {
+      if (test.known_ms < 0) {
+        site.Fault(Software(2, 2, "v2"));
+      }
+      // Until then the list has the servers' starts of before.
+      std::this_thread::sleep_for(kListDelay);
+    });
+    const TakeUps ends = TakeUp(site, streams, 0, kHosts);
+    BOOST_TEST(ends.joined == 0, test.what << ": joined " << ends.joined);
+    BOOST_TEST(ends.complete == kStreams,
+               test.what << ": complete " << ends.complete);
+  }
+}
+
+// Guards against streams that begin at a version that others joined, and whose
+// records cannot be written: without one a stream goes on at the other version.
+BOOST_AUTO_TEST_CASE(no_stream_begins_unrecorded_at_a_new_version) {
+  constexpr int kHosts = 2;
+  Site site({.port = 18500, .hosts = kHosts, .runners = 4, .services = 0});
+  std::this_thread::sleep_for(kListDelay);
+  site.Fault(Software(2, 2, "v2"));
+  std::this_thread::sleep_for(kListDelay);
+  site.Fault({{"store_down", true}});
+  BegunStreams streams;
+  for (int i = 0; i < 4 * kStreams; ++i) {
+    const std::string id = "unrecorded-" + std::to_string(i);
+    const std::string bytes = BeginStream(site.Callers(i % kHosts), id);
+    if (!VersionsIn(bytes).empty()) {
+      streams[id] = bytes;
+    }
+  }
+  // Some end without an event before their hosts see that records fail.
+  BOOST_TEST(streams.size() >= 2 * kStreams, streams.size());
+  RestartHosts(&site, kHosts, [&] { site.Fault({{"store_down", false}}); });
+  const TakeUps ends = TakeUp(site, streams, 0, kHosts);
+  BOOST_TEST(ends.joined == 0, "joined " << ends.joined);
+  BOOST_TEST(ends.complete == static_cast<int>(streams.size()),
+             "complete " << ends.complete << " of " << streams.size());
+}
+
 // Guards against take-ups that are refused for seconds after a start as the
 // host does not know that one version serves alone.
 BOOST_AUTO_TEST_CASE(a_host_of_a_large_fleet_soon_knows_the_versions) {
