Take the store's clock from reads of whole tables

Cause: a read of a whole table, which comes in pages, dropped the clock of the store's answers. A host that had just started took 0 for it, so until its first read of changes its estimate of the store's clock was the time since its start. Rows that it wrote then had such times, and times of rows that it read were all in the future, which counts as now.

Effects by reading: a stream's row written then tells no version, versions that were read then all count as new, and the record of customers' tokens is dated wrongly. Seen: versions_have_the_times_of_the_store, where the row has first_ms 1 at the store's 2,516,988, fails before and passes after (one run each).

The clock of the first page is kept, as its version is. So the age of a list that was read whole now counts from the store's answer, not from its arrival.

--- a/rosemaryhook/store.cc
+++ b/rosemaryhook/store.cc
@@ -89,6 +89,7 @@
     const int64_t era = platform::ParseStoreEra(answer.headers);
     if (all.rows.empty()) {
       all.version = page.version;
+      all.clock_ms = page.clock_ms;
       all.era = era;
     }
     if (era != all.era) {
--- a/rosemaryhook/testing/order_process_test.cc
+++ b/rosemaryhook/testing/order_process_test.cc
@@ -2,6 +2,8 @@
 // the text of a stream comes from servers of one version, in one answer and
 // over its caller's attempts. With real daemons and a fake platform whose
 // servers write the version into their events.
+#include <openssl/evp.h>
+
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <set>
@@ -158,6 +160,18 @@
   }
 }
 
+// The value of a row, as the store writes it.
+Json DecodeRow(const Json& row) {
+  const std::string text = row.at("value");
+  std::vector<unsigned char> bytes(text.size());
+  const int size = EVP_DecodeBlock(
+      bytes.data(), reinterpret_cast<const unsigned char*>(text.data()),
+      static_cast<int>(text.size()));
+  const size_t padding = text.size() - text.find_last_not_of('=') - 1;
+  return Json::parse(bytes.begin(),
+                     bytes.begin() + size - static_cast<int64_t>(padding));
+}
+
 // A limit of which each of thousands of hosts has a part that suffices.
 constexpr double kAmpleRate = 1e10;
 
@@ -469,6 +483,25 @@
   }
 }
 
+// Guards against times that are written or read by a clock that is not the
+// store's, just after a start.
+BOOST_AUTO_TEST_CASE(versions_have_the_times_of_the_store) {
+  constexpr int64_t kMaxAgeMs = 30'000;
+  const Site site({.port = 18700, .hosts = 1, .runners = 2, .services = 0});
+  const std::string target = "/v1/rows-get?table=versions&part=&limit=9";
+  Json answer;
+  const auto has_row = [&] {
+    answer = Exchange(site.Store(), "GET", target).Document();
+    return !answer.at("rows").empty();
+  };
+  BOOST_REQUIRE(Await(10, has_row));
+  const Json row = DecodeRow(answer.at("rows").at(0));
+  const int64_t first_ms = row.at("versions").at(0).at("first_ms");
+  const int64_t clock_ms = answer.at("now_ms");
+  BOOST_TEST(first_ms <= clock_ms);
+  BOOST_TEST(first_ms >= clock_ms - kMaxAgeMs);
+}
+
 // Guards against streams that begin at a version that others joined, and whose
 // records cannot be written: without one a stream goes on at the other version.
 BOOST_AUTO_TEST_CASE(no_stream_begins_unrecorded_at_a_new_version) {
