Let streams without a record go on at the version that served alone

Callers saw: streams that had begun before a release were refused after a power loss of all hosts early in the release (503, stream_version_unknown).

Cause: while one version serves alone nothing is written, so streams of before a release have no record until each host has written them, up to hosts / 50 s after it saw the second version. Hosts that are killed before that, or before they see it, leave no trace of them.

Change: a stream that has no row in the store began at the version that served alone before the others joined (EstablishedVersion), for 60 s after the first of them joined. That holds as streams of all other versions have a row before their callers get an event, which is now required: one whose row cannot be written for 1 s ends without an event, and its host begins streams at the established version only until a row is written again. The requirement falls where the established version has had no server for 1.6 s. It is not concluded where versions appeared within 1.6 s of each other, where the host does not know the versions in service or its list is old, where the read failed, or for 60 s after the store came back from a copy: the row of the versions names its era.

Why it works: what has no record is then what cannot have needed one.

--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -379,7 +379,13 @@
                             : std::move(data);
     data.clear();
     if (forwards_complete_events && !ready.empty()) {
-      co_await BindStream(call);
+      const bool may_forward = co_await BindStream(call);
+      if (!may_forward) {
+        AttemptOutcome outcome =
+            MakeOutcome(AttemptEnd::kTruncated, "the stream has no record");
+        outcome.is_unrecorded = true;
+        co_return outcome;
+      }
     }
     if (!co_await call.reply.Chunk(std::move(ready))) {
       exchange.Cancel();
@@ -507,7 +513,8 @@
                         const AttemptOutcome& outcome,
                         const HttpExchange& exchange,
                         RunnerView* view) {
-  if (call.is_disconnected || call.is_blocked || outcome.is_unproven_refusal) {
+  if (call.is_disconnected || call.is_blocked || outcome.is_unproven_refusal ||
+      outcome.is_unrecorded) {
     return;
   }
   const Time now = Now();
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -84,6 +84,9 @@
   // Of the answer's head, if there was one.
   bool has_stamp = false;
   bool has_joined_head = false;
+  // This host ended it before its first event, as the record of the stream was
+  // not written.
+  bool is_unrecorded = false;
   // The answer was given up for its number of bytes.
   bool is_excessive = false;
   AnswerBytes bytes;
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -117,6 +117,10 @@
   std::multimap<std::string, AwaitedRecord*> awaited;  // by key
   std::map<std::string, Time> avoided_recorders;       // address -> until when
   Time waits_from;  // before this, streams do not wait for their records
+  bool are_records_failing = false;  // the newest was not written in time
+  // Before this, rows may be missing that were written before the store came
+  // back from a copy.
+  Time rows_complete_from;
   bool is_history_read = false;  // from the store, since the list has a gap
   Time read_due;
   Time list_current;  // when the list was last known to lack no version
--- a/rosemaryhook/direct_era.cc
+++ b/rosemaryhook/direct_era.cc
@@ -48,6 +48,7 @@
     }
   }
   daemon->must_register = true;
+  daemon->streams.rows_complete_from = now + kStreamLifetime;
 }
 
 }  // namespace
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -14,6 +14,7 @@
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_probes.h"
+#include "rosemaryhook/direct_stream_records.h"
 #include "rosemaryhook/direct_streams.h"
 #include "rosemaryhook/direct_suspects.h"
 #include "rosemaryhook/log.h"
@@ -113,8 +114,7 @@
   wanted.tried = call.tried;
   wanted.software_version = call.stream_software;
   if (!wanted.software_version && IsResumable(call)) {
-    wanted.new_versions =
-        NewVersions(daemon.streams.history, wanted.service, Now());
+    wanted.new_versions = VersionsNotToBegin(daemon, wanted.service, Now());
   }
   wanted.zones_out = &daemon.zones_out;
   if (wanted.has_engine) {
@@ -455,9 +455,11 @@
     case AttemptEnd::kFailed:
     case AttemptEnd::kUnknown:
     case AttemptEnd::kTruncated: {
+      // Of a stream without a record the caller lacks events that were read.
       const bool can_continue =
           outcome.end != AttemptEnd::kTruncated ||
-          (!call.events.last_id.empty() && !call.events.is_oversized);
+          (!call.events.last_id.empty() && !call.events.is_oversized &&
+           !outcome.is_unrecorded);
       return MayRunAgain(call) && can_continue &&
                      call.runs < call.route->max_attempts && MayRetry(call)
                  ? NextStep::kRetry
--- a/rosemaryhook/direct_stream_records.cc
+++ b/rosemaryhook/direct_stream_records.cc
@@ -22,6 +22,9 @@
 
 constexpr size_t kMaxRowBytes = 1000;
 
+// How long a stream that must have a record is delayed at most.
+constexpr Duration kMaxRequiredRecordWait = std::chrono::seconds(1);
+
 // Interval between writes of the records that no recorder has written. All
 // hosts together write at most about kMaxFleetFlushesPerS times a second.
 constexpr Duration kMinFlushInterval = std::chrono::milliseconds(150);
@@ -133,6 +136,7 @@
   ScopedAwaitedRecord(const ScopedAwaitedRecord&) = delete;
   ScopedAwaitedRecord& operator=(const ScopedAwaitedRecord&) = delete;
 
+  const std::string& key() const { return position_->first; }
   bool is_written() const { return record_.is_written; }
 
   awaitable<void> Wait(Time deadline) {
@@ -169,6 +173,34 @@
   return recorder;
 }
 
+// Asks recorders for the record until it is written or `deadline` has passed.
+awaitable<void> AwaitRecord(DirectDaemon& daemon,
+                            ScopedAwaitedRecord& record,
+                            Time deadline) {
+  const Duration timeout = RecordTimeout(daemon.host_addresses.size());
+  while (!record.is_written() && Now() < deadline) {
+    const std::string recorder = RequestRecord(record.key(), &daemon);
+    co_await record.Wait(std::min(deadline, Now() + timeout));
+    if (!record.is_written() && recorder != daemon.settings.peers) {
+      daemon.streams.avoided_recorders[recorder] = Now() + kRecorderAvoidance;
+      Log("recorder_silent", {{"address", recorder}, {"key", record.key()}});
+    }
+  }
+}
+
+// Whether a stream must have a record, as one without is taken to have begun at
+// the established version.
+bool IsRecordRequired(const DirectDaemon& daemon,
+                      const std::string& service,
+                      const std::string& key,
+                      Time now) {
+  const StreamRecord* record = FindStream(daemon.streams.records, key, now);
+  const auto established =
+      EstablishedInUse(daemon.streams.history, service, now);
+  return !daemon.streams.is_history_read ||
+         (established && record != nullptr && record->version != *established);
+}
+
 // Tells the hosts that asked for them which records have been written.
 void ConfirmRecords(const std::vector<RecordRequest>& requests,
                     DirectDaemon* daemon) {
@@ -250,36 +282,56 @@
   return PollerRank(daemon.settings.peers, daemon.hosts, Now()) == 0;
 }
 
-awaitable<void> WriteBeforeEvents(DirectDaemon& daemon,
+awaitable<bool> WriteBeforeEvents(DirectDaemon& daemon,
                                   std::string service,
                                   std::string key) {
   StreamVersions& streams = daemon.streams;
   const Time begin = Now();
+  const bool is_required = IsRecordRequired(daemon, service, key, begin);
   if (CountVersions(streams.history, service) < 2 ||
-      begin < streams.waits_from) {
-    co_return;
+      (begin < streams.waits_from && !is_required)) {
+    co_return true;
   }
   TakeNewest(service, key, &streams.records);
   ScopedAwaitedRecord record(key, &daemon);
-  const Time deadline = begin + kMaxRecordWait;
-  const std::string recorder = RequestRecord(key, &daemon);
-  co_await record.Wait(
-      std::min(deadline, begin + RecordTimeout(daemon.host_addresses.size())));
-  if (!record.is_written() && recorder != daemon.settings.peers) {
-    streams.avoided_recorders[recorder] = Now() + kRecorderAvoidance;
-    Log("recorder_silent", {{"address", recorder}, {"key", key}});
-    RequestRecord(key, &daemon);
-    co_await record.Wait(deadline);
+  co_await AwaitRecord(daemon, record, begin + kMaxRecordWait);
+  streams.are_records_failing = !record.is_written();
+  if (!record.is_written()) {
+    streams.waits_from = Now() + kWaitPause;
+    if (is_required) {
+      co_await AwaitRecord(daemon, record, begin + kMaxRequiredRecordWait);
+    }
   }
   const Time now = Now();
   RecordWrites({{key}, {}}, record.is_written(), now, &streams.records);
   daemon.metrics.Observe("record_wait_seconds",
                          std::chrono::duration<double>(now - begin).count());
   if (!record.is_written()) {
-    streams.waits_from = now + kWaitPause;
-    daemon.metrics.Count("streams_begun_unrecorded_total");
-    Log("stream_unrecorded", {{"key", key}, {"wait_ms", Millis(now - begin)}});
+    daemon.metrics.Count("streams_unrecorded_total");
+    Log("stream_unrecorded", {{"key", key},
+                              {"wait_ms", Millis(now - begin)},
+                              {"ended", is_required ? 1 : 0}});
+  }
+  co_return record.is_written() || !is_required;
+}
+
+std::set<std::string> VersionsNotToBegin(const DirectDaemon& daemon,
+                                         const std::string& service,
+                                         Time now) {
+  const VersionHistory& history = daemon.streams.history;
+  std::set<std::string> versions = NewVersions(history, service, now);
+  if (!daemon.streams.are_records_failing) {
+    return versions;
+  }
+  const auto established = EstablishedInUse(history, service, now);
+  if (established) {
+    for (const auto& [version, served] : history.at(service)) {
+      if (version != *established) {
+        versions.insert(version);
+      }
+    }
   }
+  return versions;
 }
 
 void HandleRecordRequests(const PeerMessage& message,
--- a/rosemaryhook/direct_stream_records.h
+++ b/rosemaryhook/direct_stream_records.h
@@ -5,6 +5,7 @@
 #define ROSEMARYHOOK_DIRECT_STREAM_RECORDS_H_
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,11 +26,19 @@
 bool IsFirstPoller(const DirectDaemon& daemon);
 
 // Has the record of a stream that was just recorded written, and waits until it
-// is, at most kMaxRecordWait. Does nothing while one version serves alone.
-awaitable<void> WriteBeforeEvents(DirectDaemon& daemon,
+// is, at most kMaxRecordWait, or longer where the stream must have one. Does
+// nothing while one version serves alone. Returns false if the stream must have
+// a record and has none.
+awaitable<bool> WriteBeforeEvents(DirectDaemon& daemon,
                                   std::string service,
                                   std::string key);
 
+// The versions of a service at which no stream may begin: those that have just
+// appeared, and while records cannot be written all but the established one.
+std::set<std::string> VersionsNotToBegin(const DirectDaemon& daemon,
+                                         const std::string& service,
+                                         Time now);
+
 // Records that other hosts ask this one to write.
 void HandleRecordRequests(const PeerMessage& message,
                           Time now,
--- a/rosemaryhook/direct_streams.cc
+++ b/rosemaryhook/direct_streams.cc
@@ -88,6 +88,17 @@
   return kNames[static_cast<size_t>(reason)];
 }
 
+// The version of a stream that has no row.
+std::optional<std::string> VersionWithoutRow(const DirectDaemon& daemon,
+                                             const std::string& service,
+                                             Time now) {
+  if (!daemon.streams.is_history_read ||
+      now < daemon.streams.rows_complete_from || !IsListCurrent(daemon, now)) {
+    return std::nullopt;
+  }
+  return EstablishedVersion(daemon.streams.history, service, now);
+}
+
 void LogBound(const DirectCall& call,
               const char* source,
               std::string_view reason = "") {
@@ -200,7 +211,13 @@
         !call.stream_key.empty() || !daemon.streams.is_history_read;
     if (!can_learn || call.is_disconnected ||
         Now() + kLookUpPause >= deadline) {
-      co_return std::get<UnknownReason>(read);
+      const UnknownReason reason = std::get<UnknownReason>(read);
+      const auto version = VersionWithoutRow(daemon, call.service->name, Now());
+      if (reason != UnknownReason::kNoRow || !version) {
+        co_return reason;
+      }
+      BindTo(*version, "established", &call);
+      co_return std::nullopt;
     }
     co_await Sleep(kLookUpPause);
   }
@@ -258,6 +275,9 @@
   }
   const auto& read = std::get<StoreRows>(rows);
   for (const StoreRow& row : read.rows) {
+    if (ParseVersionsEra(row.value) != daemon.store_era) {
+      streams.rows_complete_from = Now() + kStreamLifetime;
+    }
     MergeRow(row, StoreClock(daemon, Now()), &daemon);
   }
   streams.is_history_read = true;
@@ -269,10 +289,10 @@
   StreamVersions& streams = daemon.streams;
   const Time now = Now();
   std::vector<ConditionalPut> puts;
-  puts.push_back(
-      {service,
-       EncodeVersions(streams.history[service], now, StoreClock(daemon, now)),
-       streams.row_versions[service]});
+  puts.push_back({service,
+                  EncodeVersions(streams.history[service], now,
+                                 StoreClock(daemon, now), daemon.store_era),
+                  streams.row_versions[service]});
   auto written = co_await WriteRows(daemon.store, kVersionTable,
                                     std::move(puts), now + kStoreTimeout);
   if (const auto* done = std::get_if<Written>(&written)) {
@@ -332,9 +352,9 @@
   co_return MakeDirectRefusal(503, "stream_version_unknown", kMinRetryAfter);
 }
 
-awaitable<void> BindStream(DirectCall& call) {
+awaitable<bool> BindStream(DirectCall& call) {
   if (std::exchange(call.is_stream_recorded, true)) {
-    co_return;
+    co_return true;
   }
   DirectDaemon& daemon = *call.daemon;
   const std::string& service = call.service->name;
@@ -348,13 +368,12 @@
     }
   }
   if (call.stream_key.empty()) {
-    co_return;
+    co_return true;
   }
   RecordStream(service, call.stream_key, *call.stream_software, Now(),
                &daemon.streams.records);
-  if (!is_take_up) {
-    co_await WriteBeforeEvents(daemon, service, call.stream_key);
-  }
+  co_return is_take_up ||
+      co_await WriteBeforeEvents(daemon, service, call.stream_key);
 }
 
 void RecordListedVersions(Time now, DirectDaemon* daemon) {
--- a/rosemaryhook/direct_streams.h
+++ b/rosemaryhook/direct_streams.h
@@ -23,7 +23,8 @@
 
 // Binds the call to the version of its newest attempt's runner, unless it is
 // bound, and records the stream. Called just before the caller gets an event.
-awaitable<void> BindStream(DirectCall& call);
+// Returns false if the caller must not get it, as the record is not written.
+awaitable<bool> BindStream(DirectCall& call);
 
 // Records the versions of the listed backend servers. Called with each change
 // of the list, so that no stream begins at a new version before it is known.
--- a/rosemaryhook/stream_versions.cc
+++ b/rosemaryhook/stream_versions.cc
@@ -132,9 +132,45 @@
   return found;
 }
 
+std::optional<std::string> EstablishedVersion(const VersionHistory& history,
+                                              const std::string& service,
+                                              Time now) {
+  const auto versions = history.find(service);
+  if (versions == history.end() || versions->second.empty()) {
+    return std::nullopt;
+  }
+  const auto first =
+      std::min_element(versions->second.begin(), versions->second.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.first_seen < b.second.first_seen;
+                       });
+  for (auto other = versions->second.begin(); other != versions->second.end();
+       ++other) {
+    const Time joined = other->second.first_seen;
+    // Hosts may see versions that appear together in either order.
+    if (other != first &&
+        (joined - first->second.first_seen < kNewVersionWait ||
+         now - joined > kStreamLifetime)) {
+      return std::nullopt;
+    }
+  }
+  return first->first;
+}
+
+std::optional<std::string> EstablishedInUse(const VersionHistory& history,
+                                            const std::string& service,
+                                            Time now) {
+  const auto version = EstablishedVersion(history, service, now);
+  return version && now - history.at(service).at(*version).last_seen <=
+                        kNewVersionWait
+             ? version
+             : std::nullopt;
+}
+
 std::string EncodeVersions(const ServedVersions& versions,
                            Time now,
-                           int64_t clock_ms) {
+                           int64_t clock_ms,
+                           int64_t era) {
   Json list = Json::array();
   for (const auto& [version, served] : versions) {
     list.push_back({{"version", version},
@@ -142,7 +178,15 @@
                     {"last_ms", ClockOf(served.last_seen, now, clock_ms)},
                     {"listed", served.is_listed}});
   }
-  return Json{{"versions", list}}.dump();
+  return Json{{"versions", list}, {"era", era}}.dump();
+}
+
+int64_t ParseVersionsEra(const std::string& text) {
+  try {
+    return Json::parse(text).value("era", int64_t{0});
+  } catch (const std::exception&) {
+    return 0;
+  }
 }
 
 Result<ServedVersions> ParseVersions(const std::string& text,
--- a/rosemaryhook/stream_versions.h
+++ b/rosemaryhook/stream_versions.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -74,13 +75,31 @@
                                   const std::string& service,
                                   Time now);
 
+// The version that served alone before all others of a service joined, within
+// the last kStreamLifetime. It began each stream without a record: streams of
+// the others have one before their callers get an event, and none of those is
+// old enough to have been removed.
+std::optional<std::string> EstablishedVersion(const VersionHistory& history,
+                                              const std::string& service,
+                                              Time now);
+
+// The established version, unless its last server left so long ago that no
+// current list has it.
+std::optional<std::string> EstablishedInUse(const VersionHistory& history,
+                                            const std::string& service,
+                                            Time now);
+
 // The versions of one service as a row of the store. `clock_ms` is the store's
-// clock at `now`.
+// clock at `now`, `era` its era.
 std::string EncodeVersions(const ServedVersions& versions,
                            Time now,
-                           int64_t clock_ms);
+                           int64_t clock_ms,
+                           int64_t era);
+
+// The era in which such a row was written; 0 if it does not say.
+int64_t ParseVersionsEra(const std::string& text);
 
-// Adds the versions of such a row. One that was listed when the row was written
+// The versions of such a row. One that was listed when the row was written
 // counts as seen now.
 Result<ServedVersions> ParseVersions(const std::string& text,
                                      Time now,
--- a/rosemaryhook/testing/stream_versions_test.cc
+++ b/rosemaryhook/testing/stream_versions_test.cc
@@ -68,6 +68,45 @@
   BOOST_TEST(NewVersions(history, "other", At(7.1)).empty());
 }
 
+// Guards against a stream without a record that is taken for one of a version
+// at which it cannot have begun.
+BOOST_AUTO_TEST_CASE(which_version_began_streams_without_records) {
+  struct Listed {
+    std::string version;
+    double first_seen;
+  };
+  struct Case {
+    std::string what;
+    std::vector<Listed> listed;
+    double now;
+    std::string version;  // empty: not known
+  };
+  const std::vector<Case> cases{
+      {"none", {}, 10, ""},
+      {"alone", {{"v1", 0}}, 10, "v1"},
+      {"another joined", {{"v1", 0}, {"v2", 10}}, 10, "v1"},
+      {"not long ago", {{"v1", 0}, {"v2", 10}}, 70, "v1"},
+      {"long ago", {{"v1", 0}, {"v2", 10}}, 70.1, ""},
+      {"two joined", {{"v1", 0}, {"v3", 40}, {"v2", 10}}, 60, "v1"},
+      {"one of them long ago", {{"v1", 0}, {"v3", 40}, {"v2", 10}}, 71, ""},
+      {"by name the first", {{"v1", 10}, {"v2", 0}}, 20, "v2"},
+      {"at the same time", {{"v1", 0}, {"v2", 0}}, 10, ""},
+      {"hosts may differ", {{"v1", 0}, {"v2", 1.5}}, 10, ""},
+      {"hosts agree", {{"v1", 0}, {"v2", 1.6}}, 10, "v1"}};
+  for (const Case& test : cases) {
+    VersionHistory history;
+    for (const auto& [version, first_seen] : test.listed) {
+      history[kService][version] = {At(first_seen), At(first_seen)};
+    }
+    BOOST_TEST(
+        EstablishedVersion(history, kService, At(test.now)).value_or("") ==
+            test.version,
+        test.what);
+  }
+  BOOST_TEST(ParseVersionsEra("{}") == 0);
+  BOOST_TEST(ParseVersionsEra("\xff") == 0);
+}
+
 // Guards against a host that starts after the old version's servers have gone
 // and takes the new one for the only one.
 BOOST_AUTO_TEST_CASE(a_host_that_starts_learns_of_versions_that_have_gone) {
@@ -75,7 +114,8 @@
   RecordListed(Listed({"v1", "v2"}), At(0), &before);
   RecordListed(Listed({"v2", "v3"}), At(10), &before);
   const std::string row =
-      EncodeVersions(before[kService], At(10), ClockAt(At(10)));
+      EncodeVersions(before[kService], At(10), ClockAt(At(10)), 7);
+  BOOST_TEST(ParseVersionsEra(row) == 7);
   struct Case {
     double read_at;
     std::set<std::string> listed;
@@ -321,8 +361,23 @@
     auto chosen = versions.begin();
     std::advance(chosen, static_cast<int>(Draw(0.999) * versions.size()));
     const Stream stream{*chosen, ++number_, now_ + Draw(Chance(0.2) ? 40 : 3)};
-    RecordStream(kService, KeyOf(stream.number), stream.version, At(now_),
-                 &host->records);
+    const std::string key = KeyOf(stream.number);
+    RecordStream(kService, key, stream.version, At(now_), &host->records);
+    // Before the first event, while several versions serve.
+    if (CountVersions(host->history, kService) > 1) {
+      const bool is_written = !Chance(lost_writes_);
+      TakeNewest(kService, key, &host->records);
+      RecordWrites({{key}, {}}, is_written, At(now_), &host->records);
+      const auto established =
+          EstablishedInUse(host->history, kService, At(now_));
+      const bool is_required = !host->is_history_read ||
+                               (established && stream.version != *established);
+      if (is_written) {
+        rows_[key] = stream.version;
+      } else if (is_required) {
+        return;
+      }
+    }
     broken_.push_back(stream);
   }
 
@@ -335,7 +390,13 @@
       return host->history[kService].begin()->first;
     }
     const auto row = rows_.find(key);
-    return row == rows_.end() ? "" : row->second;
+    if (row != rows_.end()) {
+      return row->second;
+    }
+    return host->is_history_read
+               ? EstablishedVersion(host->history, kService, At(now_))
+                     .value_or("")
+               : "";
   }
 
   void TakeUpDue() {
