Conclude nothing from missing rows beside hosts of earlier versions

Hosts of earlier versions of this program write the record of a stream up to 1.4 s after its first event. While hosts are replaced by ones of this version, a stream that one of them began at a new version of a service may have no row when it is taken up elsewhere, and would be taken for one of the established version.

So a host concludes nothing from a missing row while it has heard, within 60 s, a host that does not say that it records streams. By reading; not seen.

--- a/rosemaryhook/direct_streams.cc
+++ b/rosemaryhook/direct_streams.cc
@@ -88,12 +88,21 @@
   return kNames[static_cast<size_t>(reason)];
 }
 
+// Whether all hosts that were heard lately write a stream's record before its
+// caller gets an event; those of earlier versions of this program do not.
+bool DoAllRecordFirst(const DirectDaemon& daemon) {
+  return std::all_of(
+      daemon.hosts.begin(), daemon.hosts.end(),
+      [](const auto& entry) { return entry.second.records_streams; });
+}
+
 // The version of a stream that has no row.
 std::optional<std::string> VersionWithoutRow(const DirectDaemon& daemon,
                                              const std::string& service,
                                              Time now) {
   if (!daemon.streams.is_history_read ||
-      now < daemon.streams.rows_complete_from || !IsListCurrent(daemon, now)) {
+      now < daemon.streams.rows_complete_from || !IsListCurrent(daemon, now) ||
+      !DoAllRecordFirst(daemon)) {
     return std::nullopt;
   }
   return EstablishedVersion(daemon.streams.history, service, now);
