Keep tests that run at the same time off each other's ports

Cause: tests have fixed ports, so two copies of the suite on one machine reach each other's platforms, hosts and servers.

Change: a site or fleet of a test holds a lock for its 100 ports, which ends with the process, and waits for it at most 4 minutes.

--- a/rosemaryhook/testing/fault_proxy_process_test.cc
+++ b/rosemaryhook/testing/fault_proxy_process_test.cc
@@ -6,6 +6,7 @@
 
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/testing/fault_proxy.h"
+#include "rosemaryhook/testing/port_block.h"
 #include "rosemaryhook/testing/processes.h"
 
 namespace rosemaryhook::testing {
@@ -28,6 +29,7 @@
 // the proxy resets stays open then, but nobody reads it.
 BOOST_AUTO_TEST_CASE(a_process_keeps_no_reset_connection_open) {
   asio::io_context io;
+  const PortBlock ports(20700);
   const auto target = std::get<tcp::endpoint>(ParseAddress("127.0.0.1:20700"));
   const auto listen = std::get<tcp::endpoint>(ParseAddress("127.0.0.1:20701"));
   tcp::acceptor acceptor(io, target);
--- a/rosemaryhook/testing/fleet.cc
+++ b/rosemaryhook/testing/fleet.cc
@@ -16,7 +16,8 @@
   return "[" + adapter + "|" + prompt + "]";
 }
 
-Fleet::Fleet(FleetOptions options) : options_(std::move(options)) {
+Fleet::Fleet(FleetOptions options)
+    : ports_(options.port), options_(std::move(options)) {
   folder_ = (std::filesystem::temp_directory_path() /
              fmt::format("rosemaryhook-{}-{}", getpid(), options_.port))
                 .string();
--- a/rosemaryhook/testing/fleet.h
+++ b/rosemaryhook/testing/fleet.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/testing/port_block.h"
 #include "rosemaryhook/testing/processes.h"
 
 namespace rosemaryhook::testing {
@@ -104,6 +105,7 @@
   std::string Address(int offset) const;
   void StartAll();
 
+  PortBlock ports_;
   FleetOptions options_;
   std::string folder_;
   std::map<std::string, Process> processes_;
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-Site::Site(SiteOptions options) : options_(options) {
+Site::Site(SiteOptions options) : ports_(options.port), options_(options) {
   folder_ = (std::filesystem::temp_directory_path() /
              fmt::format("rosemaryhook-site-{}-{}", getpid(), options_.port))
                 .string();
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/testing/port_block.h"
 #include "rosemaryhook/testing/processes.h"
 
 namespace rosemaryhook::testing {
@@ -110,6 +111,7 @@
   std::string HostAddress(int host, int offset) const;
   std::string Settings(int host) const;
 
+  PortBlock ports_;
   SiteOptions options_;
   std::string folder_;
   Process platform_;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -4,7 +4,7 @@
   bounded_cbor brittle_server claims contact deployment direct_state endless_requests
   event_splitter fleet_state http_io idempotency joined_heads endless_bytes
   load_pacing list_trust membership peer_backlog peer_bounds peer_reads
-  placement platform_codec rates prompt_suspects repeat_limits repeated_ids request_memory
+  placement platform_codec port_block rates prompt_suspects repeat_limits repeated_ids request_memory
   retries routing runner_choice runner_ownership request_suspects
   runner_ownership_leaving send_pause server_path send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
@@ -14,6 +14,7 @@
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
 endforeach()
+list(APPEND UNIT_SOURCES rosemaryhook/testing/port_block.cc)
 add_executable(unit_tests ${UNIT_SOURCES})
 target_link_libraries(unit_tests PRIVATE
   rosemaryhook Boost::unit_test_framework)
@@ -40,7 +41,7 @@
   crashing_requests retry_storm repeat_rules order lost_paths
   brittle_servers)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
-  rosemaryhook/testing/scripted_server.cc
+  rosemaryhook/testing/scripted_server.cc rosemaryhook/testing/port_block.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
   rosemaryhook/testing/site.cc rosemaryhook/testing/fault_proxy.cc)
 foreach(suite ${PROCESS_SUITES})
@@ -180,7 +181,7 @@
 add_executable(soak rosemaryhook/testing/soak.cc
   rosemaryhook/testing/soak_callers.cc rosemaryhook/testing/soak_checks.cc
   rosemaryhook/testing/fault_proxy.cc rosemaryhook/testing/site.cc
-  rosemaryhook/testing/processes.cc)
+  rosemaryhook/testing/processes.cc rosemaryhook/testing/port_block.cc)
 target_link_libraries(soak PRIVATE rosemaryhook CLI11::CLI11)
 target_compile_definitions(soak PRIVATE
   ROSEMARYHOOK_PROGRAMS="$<TARGET_FILE_DIR:rosemaryhookd>")
