--- a/rosemaryhook/testing/order_process_test.cc
+++ b/rosemaryhook/testing/order_process_test.cc
@@ -4,12 +4,14 @@
 // servers write the version into their events.
 #include <openssl/evp.h>
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <set>
 #include <thread>
 
 #include "rosemaryhook/http.h"
+#include "rosemaryhook/peer_message.h"
 #include "rosemaryhook/testing/scripted_server.h"
 #include "rosemaryhook/testing/site.h"
 #include "rosemaryhook/time.h"
@@ -512,6 +514,68 @@
   }
 }
 
+// Sends the messages of a host of an earlier version of this program, which
+// writes a stream's record after the first event, to all hosts of a site.
+class EarlierHost {
+ public:
+  EarlierHost(const Site& site, int port, int hosts)
+      : thread_([this, &site, port, hosts] {
+          while (!is_ending_) {
+            for (int i = 0; i < hosts; ++i) {
+              Send(site.HostIp(i), port + kPeerOffset + i);
+            }
+            std::this_thread::sleep_for(kInterval);
+          }
+        }) {}
+  ~EarlierHost() {
+    is_ending_ = true;
+    thread_.join();
+  }
+  EarlierHost(const EarlierHost&) = delete;
+  EarlierHost& operator=(const EarlierHost&) = delete;
+
+ private:
+  static constexpr int kPeerOffset = 50;
+  static constexpr Duration kInterval = std::chrono::milliseconds(100);
+
+  void Send(const std::string& ip, int port) {
+    PeerMessage message;
+    message.session = "entry-earlier";
+    message.address = "127.0.0.1:9";
+    message.zone = "zone-0";
+    message.number = ++number_;
+    message.is_store_reachable = true;
+    const asio::ip::udp::endpoint to(asio::ip::make_address(ip),
+                                     static_cast<uint16_t>(port));
+    beast::error_code ec;
+    socket_.send_to(asio::buffer(EncodePeerMessage(message)), to, 0, ec);
+  }
+
+  asio::io_context io_;
+  asio::ip::udp::socket socket_{
+      io_, asio::ip::udp::endpoint(asio::ip::udp::v4(), 0)};
+  int64_t number_ = 0;
+  std::atomic<bool> is_ending_ = false;
+  std::thread thread_;
+};
+
+// Guards against streams of hosts of an earlier version that go on at another
+// version, as their records are not there yet.
+BOOST_AUTO_TEST_CASE(no_record_tells_nothing_beside_an_earlier_version) {
+  constexpr int kHosts = 2;
+  constexpr int kPort = 32600;
+  Site site({.port = kPort, .hosts = kHosts, .runners = 4, .services = 0});
+  std::this_thread::sleep_for(kListDelay);
+  const BegunStreams streams = BeginStreams(site, kHosts);
+  site.Fault(Software(2, 2, "v2"));
+  RestartHosts(&site, kHosts, [] { std::this_thread::sleep_for(kListDelay); });
+  const EarlierHost earlier(site, kPort, kHosts);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  const TakeUps ends = TakeUp(site, streams, 0, kHosts);
+  BOOST_TEST(ends.joined == 0, ends.joined);
+  BOOST_TEST(ends.refused == kStreams, ends.refused);
+}
+
 // Guards against streams that wait for, or are lost with, a recorder that
 // stands still.
 BOOST_AUTO_TEST_CASE(streams_begin_while_a_recorder_stands_still) {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -162,6 +162,7 @@
   order/versions_have_the_times_of_the_store
   order/streams_begin_while_a_recorder_stands_still
   order/streams_without_records_outlive_slow_reads
+  order/no_record_tells_nothing_beside_an_earlier_version
   lost_paths/callers_of_a_cut_host_are_served_like_the_others
   lost_paths/paths_that_come_and_go_run_no_request_twice
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
