Count datagrams and store calls by kind

Bytes between zones are the dearest price on fleets with many hosts, and nothing said which messages or calls cause them. Each datagram is counted by what it is sent for, with its bytes and those between zones, and each call to the store by kind and table; both are on the metrics address and in the log every 30 s.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "rosemaryhook/direct_datagrams.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/list_sharing.h"
@@ -16,7 +17,6 @@
 namespace {
 
 using DirectDaemonPtr = std::shared_ptr<DirectDaemon>;
-using asio::ip::udp;
 
 constexpr int kTicksPerFullMessage = 4;
 
@@ -90,22 +90,6 @@
 
 namespace {
 
-void SendTo(const std::string& address,
-            const std::string& bytes,
-            DirectDaemon* daemon) {
-  const auto endpoint = ParseAddress(address);
-  if (Failure(endpoint) != nullptr) {
-    return;
-  }
-  const tcp::endpoint& parsed = std::get<tcp::endpoint>(endpoint);
-  beast::error_code ec;
-  daemon->peer_socket.send_to(asio::buffer(bytes),
-                              udp::endpoint(parsed.address(), parsed.port()), 0,
-                              ec);
-  // A datagram that cannot be sent now counts as lost; it is not retried.
-  daemon->metrics.Count(ec ? "datagrams_unsent_total" : "datagrams_sent_total");
-}
-
 // Values that were last broadcast, so that only changes are sent.
 struct LastSent {
   std::map<std::string, RunnerLoad> totals;
@@ -269,10 +253,11 @@
 }
 
 void SendToAll(const PeerMessage& message, DirectDaemon* daemon) {
+  const DatagramKind kind = KindOf(message);
   const std::string bytes = EncodePeerMessage(message);
   for (const std::string& address : daemon->host_addresses) {
     if (address != daemon->settings.peers) {
-      SendTo(address, bytes, daemon);
+      SendDatagram(address, kind, bytes, daemon);
     }
   }
 }
@@ -296,6 +281,7 @@
 // otherwise only to hosts with additions.
 void SendOutgoing(Outgoing out, bool is_for_all, DirectDaemon* daemon) {
   is_for_all = is_for_all || !IsEmpty(out.common);
+  const DatagramKind kind = KindOf(out.common);
   const std::string bytes = EncodePeerMessage(out.common);
   for (const std::string& address : daemon->host_addresses) {
     const auto extra = out.extras.find(address);
@@ -304,13 +290,13 @@
       continue;
     }
     if (extra == out.extras.end()) {
-      SendTo(address, bytes, daemon);
+      SendDatagram(address, kind, bytes, daemon);
       continue;
     }
     PeerMessage message = out.common;
     message.loads.merge(extra->second.loads);
     message.used = std::move(extra->second.used);
-    SendTo(address, EncodePeerMessage(message), daemon);
+    SendPeerMessage(address, message, daemon);
   }
 }
 
@@ -391,7 +377,7 @@
     for (const std::string& runner : runners) {
       AddOwnedRunner(runner, daemon, &message);
     }
-    SendTo(address, EncodePeerMessage(message), daemon);
+    SendPeerMessage(address, message, daemon);
   }
 }
 
@@ -479,7 +465,7 @@
 void SendPeerMessage(const std::string& address,
                      const PeerMessage& message,
                      DirectDaemon* daemon) {
-  SendTo(address, EncodePeerMessage(message), daemon);
+  SendDatagram(address, KindOf(message), EncodePeerMessage(message), daemon);
 }
 
 void BroadcastListUpdate(ListUpdate update,
@@ -503,7 +489,7 @@
                             : acked_messages.find(session->second);
     message.updates.front().acked_message =
         number == acked_messages.end() ? 0 : number->second;
-    SendTo(address, EncodePeerMessage(message), daemon);
+    SendPeerMessage(address, message, daemon);
   }
 }
 
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -32,6 +32,7 @@
 #include "rosemaryhook/stream_recorders.h"
 #include "rosemaryhook/stream_versions.h"
 #include "rosemaryhook/token_limits.h"
+#include "rosemaryhook/traffic_account.h"
 
 namespace rosemaryhook {
 
@@ -155,6 +156,7 @@
   HttpPool control_pool;  // for orders to runners and reports on them
   Store store;
   Metrics metrics;
+  TrafficAccount traffic;
   std::shared_ptr<HttpServer> callers;
   int64_t store_clock_offset_ms = 0;  // the store's clock minus this host's
   std::deque<int64_t> store_clock_samples;  // offsets, newest last
@@ -193,6 +195,7 @@
   std::map<std::string, PeerHost> hosts;                // by session
   std::map<std::string, int64_t> peer_message_numbers;  // by session
   std::set<std::string> host_addresses;                 // all ever known
+  std::map<std::string, std::string> host_zones;        // by address
   bool has_joined = false;     // the hosts in the store are known
   bool must_register = false;  // the store has lost this host's row
   int64_t message_number = 0;
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -9,6 +9,7 @@
 #include "rosemaryhook/daemon_signals.h"
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_daemon.h"
+#include "rosemaryhook/direct_datagrams.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_peers.h"
@@ -127,7 +128,9 @@
     } else if (IsPeerRead(request)) {
       co_await AnswerPeerRead(daemon, request, reply);
     } else if (request.target == "/metrics") {
-      co_await reply.Send(200, {}, daemon->metrics.Text() + GaugeText(*daemon));
+      co_await reply.Send(200, {},
+                          daemon->metrics.Text() + GaugeText(*daemon) +
+                              AccountText(daemon->traffic));
     } else if (request.target == "/ready") {
       co_await reply.Send(IsReady(*daemon) ? 200 : 503, {}, "");
     } else {
@@ -285,7 +288,7 @@
   daemon->settings_file = file;
   daemon->session = settings.host + "-" + RandomId().substr(0, 8);
   daemon->started = now;
-  daemon->store = {&daemon->pool, settings.table};
+  daemon->store = {&daemon->pool, settings.table, &daemon->traffic};
   if (!settings.source_address.empty()) {
     daemon->pool.source = asio::ip::make_address(settings.source_address);
     daemon->control_pool.source = daemon->pool.source;
@@ -320,6 +323,7 @@
   StartStreamVersions(daemon);
   StartStreamRecords(daemon);
   StartPaths(daemon);
+  StartTrafficLog(daemon);
   const auto executor = daemon->io.get_executor();
   StartLoop(executor, "callers", [=] { return Serve(servers->callers); });
   StartLoop(executor, "readiness", [=] { return Serve(servers->readiness); });
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -86,6 +86,7 @@
                  {"address", message.address},
                  {"state", "heard"}});
     daemon->host_addresses.insert(message.address);
+    daemon->host_zones[message.address] = message.zone;
   }
   PeerHost& host = daemon->hosts[message.session];
   const std::string operators =
--- a/rosemaryhook/store.cc
+++ b/rosemaryhook/store.cc
@@ -14,6 +14,14 @@
   return Error{Step::kTable, store.address, "status " + std::to_string(status)};
 }
 
+void CountCall(const Store& store,
+               StoreCallKind kind,
+               const std::string& table) {
+  if (store.account != nullptr) {
+    RecordStoreCall(kind, table, store.account);
+  }
+}
+
 awaitable<Result<HttpAnswer>> SendRequest(Store store,
                                           std::string method,
                                           std::string target,
@@ -65,6 +73,7 @@
   std::string from;
   size_t bytes = 0;
   while (true) {
+    CountCall(store, StoreCallKind::kRead, table);
     auto fetched =
         co_await SendRequest(store, "GET", platform::RowsTarget(table, from),
                              std::string(), deadline);
@@ -111,6 +120,7 @@
 awaitable<Result<StoreRows>> ReadRange(Store store,
                                        platform::RowRange range,
                                        Time deadline) {
+  CountCall(store, StoreCallKind::kRead, range.table);
   auto fetched = co_await SendRequest(
       store, "GET", platform::RangeTarget(range), std::string(), deadline);
   if (const Error* error = Failure(fetched)) {
@@ -132,6 +142,7 @@
                                       int64_t after,
                                       Duration wait,
                                       Time deadline) {
+  CountCall(store, StoreCallKind::kReadChanges, table);
   auto fetched = co_await SendRequest(
       store, "GET", platform::ChangesTarget(table, after, wait), std::string(),
       deadline);
@@ -161,6 +172,7 @@
                                   std::string table,
                                   std::vector<ConditionalPut> puts,
                                   Time deadline) {
+  CountCall(store, StoreCallKind::kWrite, table);
   std::string body = platform::EncodeConditionalPuts(table, puts);
   co_return co_await Write(std::move(store), std::move(body), deadline);
 }
@@ -170,6 +182,7 @@
                                  std::string key,
                                  std::string value,
                                  Time deadline) {
+  CountCall(store, StoreCallKind::kWrite, table);
   std::string body = platform::EncodeUnconditionalPut(table, key, value);
   co_return co_await Write(std::move(store), std::move(body), deadline);
 }
@@ -177,6 +190,7 @@
 awaitable<WriteOutcome> WriteBatch(Store store,
                                    platform::RowBatch batch,
                                    Time deadline) {
+  CountCall(store, StoreCallKind::kWrite, batch.table);
   std::string body = platform::EncodeBatch(batch);
   co_return co_await Write(std::move(store), std::move(body), deadline);
 }
--- a/rosemaryhook/store.h
+++ b/rosemaryhook/store.h
@@ -20,6 +20,7 @@
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/time.h"
+#include "rosemaryhook/traffic_account.h"
 
 namespace rosemaryhook {
 
@@ -39,6 +40,7 @@
 struct Store {
   HttpPool* pool = nullptr;
   std::string address;
+  TrafficAccount* account = nullptr;  // counts the calls unless it is nullptr
 };
 
 // All rows of a table.
