Send messages for all hosts to other zones through relays

Each sender now sends them to three hosts of each other zone; the first forwards them unchanged in its zone, the others only if no copy has reached them after 60 and 120 ms. Fleets of up to 16 hosts, small zones and zones with fewer than three relays are served as before. Not measured yet.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -70,6 +70,7 @@
   message.is_cut_off = IsCutOff(daemon->reach, now);
   message.list_version = daemon->runner_contact.version;
   message.records_streams = true;
+  message.relays_messages = MayRelay(*daemon, now);
   daemon->message_times[message.number] = now;
   while (now - daemon->message_times.begin()->second > kMessageTimeRetention) {
     daemon->message_times.erase(daemon->message_times.begin());
@@ -253,13 +254,8 @@
 }
 
 void SendToAll(const PeerMessage& message, DirectDaemon* daemon) {
-  const DatagramKind kind = KindOf(message);
-  const std::string bytes = EncodePeerMessage(message);
-  for (const std::string& address : daemon->host_addresses) {
-    if (address != daemon->settings.peers) {
-      SendDatagram(address, kind, bytes, daemon);
-    }
-  }
+  SendByPlan(PlanBroadcastNow(*daemon), KindOf(message),
+             EncodePeerMessage(message), daemon);
 }
 
 // Owners answer probes (direct_probes.h) from the loads that the hosts report,
@@ -277,27 +273,46 @@
   }
 }
 
+void SendExtra(const std::string& address,
+               PeerMessage message,
+               Outgoing::Extra extra,
+               DirectDaemon* daemon) {
+  message.loads.merge(extra.loads);
+  message.used = std::move(extra.used);
+  SendPeerMessage(address, message, daemon);
+}
+
 // Sends to all hosts if `is_for_all` or if the common part has content,
-// otherwise only to hosts with additions.
+// otherwise only to hosts with additions. A host that gets the common part
+// through a relay gets its additions before, in a message of their own with a
+// lower number, since a receiver drops messages that newer ones have overtaken.
 void SendOutgoing(Outgoing out, bool is_for_all, DirectDaemon* daemon) {
-  is_for_all = is_for_all || !IsEmpty(out.common);
-  const DatagramKind kind = KindOf(out.common);
-  const std::string bytes = EncodePeerMessage(out.common);
-  for (const std::string& address : daemon->host_addresses) {
-    const auto extra = out.extras.find(address);
-    if (address == daemon->settings.peers ||
-        (extra == out.extras.end() && !is_for_all)) {
-      continue;
+  if (!is_for_all && IsEmpty(out.common)) {
+    for (auto& [address, extra] : out.extras) {
+      SendExtra(address, out.common, std::move(extra), daemon);
     }
-    if (extra == out.extras.end()) {
-      SendDatagram(address, kind, bytes, daemon);
-      continue;
+    return;
+  }
+  BroadcastPlan plan = PlanBroadcastNow(*daemon);
+  std::map<std::string, Outgoing::Extra> merged;
+  std::erase_if(plan.direct, [&](const std::string& address) {
+    auto extra = out.extras.extract(address);
+    if (extra.empty()) {
+      return false;
     }
-    PeerMessage message = out.common;
-    message.loads.merge(extra->second.loads);
-    message.used = std::move(extra->second.used);
-    SendPeerMessage(address, message, daemon);
+    merged.insert(std::move(extra));
+    return true;
+  });
+  for (auto& [address, extra] : out.extras) {
+    SendExtra(address, NewMessage(daemon), std::move(extra), daemon);
+  }
+  if (!out.extras.empty()) {
+    out.common.number = NewMessage(daemon).number;
+  }
+  for (auto& [address, extra] : merged) {
+    SendExtra(address, out.common, std::move(extra), daemon);
   }
+  SendByPlan(plan, KindOf(out.common), EncodePeerMessage(out.common), daemon);
 }
 
 // A part that was sent at once is sent again with the next message, and one
@@ -438,20 +453,6 @@
   }
 }
 
-// The newest session of each address. A host that restarted has several
-// sessions until the old one is dropped.
-std::map<std::string, std::string> NewestSessions(const DirectDaemon& daemon) {
-  std::map<std::string, std::string> sessions;
-  std::map<std::string, Time> last_seen;
-  for (const auto& [session, host] : daemon.hosts) {
-    if (host.last_seen >= last_seen[host.address]) {
-      last_seen[host.address] = host.last_seen;
-      sessions[host.address] = session;
-    }
-  }
-  return sessions;
-}
-
 }  // namespace
 
 void StartBroadcast(const DirectDaemonPtr& daemon) {
@@ -468,31 +469,6 @@
   SendDatagram(address, KindOf(message), EncodePeerMessage(message), daemon);
 }
 
-void BroadcastListUpdate(ListUpdate update,
-                         const std::map<std::string, int64_t>& acked_messages,
-                         DirectDaemon* daemon) {
-  if (ExceedsMaxUpdateSize(update)) {
-    update.rows.clear();
-    update.from = update.to;  // a host with an older version detects a gap
-  }
-  PeerMessage message = NewMessage(daemon);
-  message.operators = daemon->settings.operators;
-  message.updates.push_back(std::move(update));
-  const std::map<std::string, std::string> sessions = NewestSessions(*daemon);
-  for (const std::string& address : daemon->host_addresses) {
-    if (address == daemon->settings.peers) {
-      continue;
-    }
-    const auto session = sessions.find(address);
-    const auto number = session == sessions.end()
-                            ? acked_messages.end()
-                            : acked_messages.find(session->second);
-    message.updates.front().acked_message =
-        number == acked_messages.end() ? 0 : number->second;
-    SendPeerMessage(address, message, daemon);
-  }
-}
-
 void AddChangedPart(const std::string& part, DirectDaemon* daemon) {
   if (daemon->parts_changed.empty()) {
     const bool is_large =
--- a/rosemaryhook/direct_broadcast.h
+++ b/rosemaryhook/direct_broadcast.h
@@ -14,12 +14,6 @@
 // Starts the coroutines that broadcast changes; they run until `is_stopping`.
 void StartBroadcast(const std::shared_ptr<DirectDaemon>& daemon);
 
-// Broadcasts the changes of a list. `acked_messages`: session -> number of its
-// newest message that had arrived when the request to the store was sent.
-void BroadcastListUpdate(ListUpdate update,
-                         const std::map<std::string, int64_t>& acked_messages,
-                         DirectDaemon* daemon);
-
 // A message with the next number and the fields that every message has; records
 // its send time.
 PeerMessage NewMessage(DirectDaemon* daemon);
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -33,6 +33,7 @@
 #include "rosemaryhook/stream_versions.h"
 #include "rosemaryhook/token_limits.h"
 #include "rosemaryhook/traffic_account.h"
+#include "rosemaryhook/zone_relays.h"
 
 namespace rosemaryhook {
 
@@ -144,6 +145,7 @@
       : io(context),
         peer_socket(context),
         broadcast_signal(context.get_executor()),
+        forward_signal(context.get_executor()),
         part_signal(context.get_executor()),
         record_signal(context.get_executor()) {}
 
@@ -211,6 +213,8 @@
   // Addresses of hosts that failed to read for this one -> avoided until.
   std::map<std::string, Time> avoided_peers;
   Signal broadcast_signal;  // wakes the broadcast loop
+  HeldForwards forwards;
+  Signal forward_signal;  // wakes the loop that sends `forwards`
 
   std::map<std::string, BrittleStatement> brittle_services;  // by service
 
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_datagrams.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
@@ -39,16 +40,30 @@
 // run: what 80 hosts send in 0.2 s.
 constexpr int kMaxDatagramsPerTurn = 32;
 
-void HandleDatagram(const std::string& bytes,
+// Handles a message, and forwards it in this host's zone if it came in an
+// envelope.
+void HandleDatagram(const std::string& datagram,
                     const udp::endpoint& from,
                     DirectDaemon* daemon) {
+  const auto envelope = ParseEnvelope(datagram);
+  const std::string bytes =
+      envelope ? std::string(envelope->message) : datagram;
   const auto parsed = ParsePeerMessage(bytes);
   if (const Error* error = Failure(parsed)) {
     Log("datagram_unreadable",
         {{"peer", from.address().to_string()}, {"why", error->message}});
     return;
   }
-  ApplyPeerMessage(std::get<PeerMessage>(parsed), Now(), daemon);
+  const PeerMessage& message = std::get<PeerMessage>(parsed);
+  const Time now = Now();
+  const bool is_known =
+      message.number <= daemon->peer_message_numbers[message.session];
+  if (envelope && !is_known) {
+    ForwardInZone(envelope->rank, message, bytes, now, daemon);
+  } else if (!envelope && message.zone != daemon->settings.zone) {
+    RecordForwarded(message.session, message.number, &daemon->forwards);
+  }
+  ApplyPeerMessage(message, now, daemon);
 }
 
 // Load pattern: many handlers of a busy process are ready to run. With one
@@ -109,7 +124,8 @@
           started + message.age,
           started,
           message.list_version,
-          message.records_streams};
+          message.records_streams,
+          message.relays_messages};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
@@ -179,6 +195,7 @@
   StartLoop(executor, "receive", [=] { return ReceiveLoop(daemon); });
   StartLoop(executor, "expire", [=] { return ExpireLoop(daemon); });
   StartBroadcast(daemon);
+  StartForwarding(daemon);
 }
 
 void ApplyPeerMessage(const PeerMessage& message,
@@ -230,7 +247,11 @@
   for (const LoadRequest& load_request : message.load_requests) {
     HandleLoadRequest(load_request, message.address, now, daemon);
   }
-  for (const ListUpdate& update : message.updates) {
+  for (ListUpdate update : message.updates) {
+    const auto acked = message.acked_messages.find(daemon->settings.peers);
+    if (acked != message.acked_messages.end()) {
+      update.acked_message = acked->second;
+    }
     ApplyListUpdate(update, now, daemon);
   }
   for (const SentRequest& sent : message.sent) {
@@ -275,6 +296,7 @@
     const bool is_old = now - entry.second.last_seen > kSilentSessionRetention;
     if (is_old) {
       daemon->peer_message_numbers.erase(entry.first);
+      daemon->forwards.forwarded.erase(entry.first);
       Log("host", {{"session", entry.first}, {"state", "forgotten"}});
     }
     return is_old;
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -11,6 +11,7 @@
 
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_era.h"
+#include "rosemaryhook/direct_list_updates.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_owners.h"
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -164,6 +164,8 @@
   message.is_cut_off = json.value("x", false);
   message.list_version = json.value("j", int64_t{0});
   message.records_streams = json.value("R", false);
+  message.relays_messages = json.value("zr", false);
+  message.acked_messages = Field<std::map<std::string, int64_t>>(json, "ak");
   message.operators = json.value("e", "");
   message.updates = UpdatesFromJson(json.value("d", Json::array()));
   message.tokens_used = Field<std::map<std::string, double>>(json, "t");
@@ -228,9 +230,13 @@
   if (message.records_streams) {
     json["R"] = true;
   }
+  if (message.relays_messages) {
+    json["zr"] = true;
+  }
   if (!message.operators.empty()) {
     json["e"] = message.operators;
   }
+  add("ak", message.acked_messages);
   add("d", UpdatesToJson(message.updates));
   add("t", message.tokens_used);
   add("r", LoadsToJson(message.loads));
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -88,6 +88,7 @@
   bool is_cut_off = false;          // reaches no backend servers
   int64_t list_version = 0;         // up to which it knows the list of servers
   bool records_streams = false;     // writes records for other hosts
+  bool relays_messages = false;     // forwards them in its zone
   std::string operators;            // ip:port; not in every message
   std::map<std::string, double> tokens_used;  // customer -> total of session
   std::map<std::string, RunnerLoad> loads;    // runner -> of this host
@@ -102,6 +103,9 @@
   int64_t answered_probe = 0;  // id of the receiver's probe; 0 if none
   std::vector<SentRequest> sent;
   std::vector<ListUpdate> updates;
+  // Address of a host -> `acked_message` of `updates` for it, in messages that
+  // are forwarded to several hosts.
+  std::map<std::string, int64_t> acked_messages;
   std::map<std::string, PeerLimit> limits;     // by runner
   std::map<std::string, PeerBrittle> brittle;  // by service
   std::set<std::string> refused_by;            // brittle runners, just now
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -91,6 +91,7 @@
   Time started = {};             // of the session, by the fastest message
   int64_t list_version = 0;      // up to which it knew the list of servers then
   bool records_streams = false;  // writes records for others on request
+  bool relays_messages = false;  // forwards messages in its zone
 };
 
 // When and how a host may order its own runner.
--- a/rosemaryhook/traffic_account.cc
+++ b/rosemaryhook/traffic_account.cc
@@ -17,6 +17,7 @@
     {DatagramKind::kFullState, "full_state"},
     {DatagramKind::kOwnedRunners, "owned_runners"},
     {DatagramKind::kLoads, "loads"},
+    {DatagramKind::kForwarded, "forwarded"},
     {DatagramKind::kOther, "other"},
 }};
 
--- a/rosemaryhook/traffic_account.h
+++ b/rosemaryhook/traffic_account.h
@@ -33,9 +33,10 @@
   kFullState,     // the whole state of the sender
   kOwnedRunners,  // adapters that runners of the sender hold
   kLoads,         // loads of backend servers
+  kForwarded,     // messages of hosts in other zones
   kOther,
 };
-constexpr size_t kDatagramKinds = 10;
+constexpr size_t kDatagramKinds = 11;
 
 std::string_view DatagramKindName(DatagramKind kind);
 
