--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -32,6 +32,8 @@
 #include "rosemaryhook/stream_recorders.h"
 #include "rosemaryhook/stream_versions.h"
 #include "rosemaryhook/token_limits.h"
+#include "rosemaryhook/traffic_account.h"
+#include "rosemaryhook/zone_relays.h"
 
 namespace rosemaryhook {
 
@@ -143,6 +145,7 @@
       : io(context),
         peer_socket(context),
         broadcast_signal(context.get_executor()),
+        forward_signal(context.get_executor()),
         part_signal(context.get_executor()),
         record_signal(context.get_executor()) {}
 
@@ -155,6 +158,7 @@
   HttpPool control_pool;  // for orders to runners and reports on them
   Store store;
   Metrics metrics;
+  TrafficAccount traffic;
   std::shared_ptr<HttpServer> callers;
   int64_t store_clock_offset_ms = 0;  // the store's clock minus this host's
   std::deque<int64_t> store_clock_samples;  // offsets, newest last
@@ -193,6 +197,7 @@
   std::map<std::string, PeerHost> hosts;                // by session
   std::map<std::string, int64_t> peer_message_numbers;  // by session
   std::set<std::string> host_addresses;                 // all ever known
+  std::map<std::string, std::string> host_zones;        // by address
   bool has_joined = false;     // the hosts in the store are known
   bool must_register = false;  // the store has lost this host's row
   int64_t message_number = 0;
@@ -208,6 +213,8 @@
   // Addresses of hosts that failed to read for this one -> avoided until.
   std::map<std::string, Time> avoided_peers;
   Signal broadcast_signal;  // wakes the broadcast loop
+  HeldForwards forwards;
+  Signal forward_signal;  // wakes the loop that sends `forwards`
 
   std::map<std::string, BrittleStatement> brittle_services;  // by service
 
