Share the slots of plain servers by one coordinator per service

Where a service without an engine has fewer slots than there are hosts, each host chose a server from its own sends and from reports that are some ms old, so that servers rejected requests while others were idle.

The host with the highest weighted rendezvous weight for the service now keeps one queue for all its servers. Hosts ask it for a slot before they send, and release the slot after the attempt. Without an answer they choose as before.

--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -6,8 +6,10 @@
 
 #include <utility>
 
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
+#include "rosemaryhook/direct_places.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
 #include "rosemaryhook/task.h"
@@ -70,6 +72,7 @@
   message.is_cut_off = IsCutOff(daemon->reach, now);
   message.list_version = daemon->runner_contact.version;
   message.records_streams = true;
+  message.shares_places = true;
   daemon->message_times[message.number] = now;
   while (now - daemon->message_times.begin()->second > kMessageTimeRetention) {
     daemon->message_times.erase(daemon->message_times.begin());
@@ -152,8 +155,10 @@
       }
       continue;
     }
-    if (EqualLoads(view.own_sent, view.own) &&
-        (!is_full || IsZeroLoad(view.own))) {
+    // Where all hosts share the slots, the coordinator counts.
+    if (SharesPlaces(*daemon, view.entry.service) ||
+        (EqualLoads(view.own_sent, view.own) &&
+         (!is_full || IsZeroLoad(view.own)))) {
       continue;
     }
     const std::string counting_owner = CountingOwner(*daemon, id, view);
@@ -250,17 +255,6 @@
   }
 }
 
-// As with limits, only what servers told this host itself.
-void AddBrittle(const DirectDaemon& daemon, PeerMessage* message) {
-  const Time now = Now();
-  for (const auto& [service, statement] : daemon.brittle_services) {
-    if (statement.is_told_here) {
-      message->brittle[service] = {statement.refusals_per_s,
-                                   now - statement.as_of};
-    }
-  }
-}
-
 bool IsEmpty(const PeerMessage& message) {
   return message.loads.empty() && message.limits.empty() &&
          message.tokens_used.empty() && message.totals.empty() &&
@@ -345,6 +339,7 @@
   if (is_full) {
     AddBrittle(*daemon, &out.common);
     out.common.operators = daemon->settings.operators;
+    out.common.processor_share = daemon->settings.processor_share;
     last_sent->full_due =
         now +
         BroadcastInterval(daemon->host_addresses.size()) * kTicksPerFullMessage;
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -445,12 +445,12 @@
   AttemptOutcome outcome = MakeOutcome(
       AttemptEnd::kNotRun, "refused with " + std::to_string(head.status));
   const auto answer = platform::ParseRunnerAnswer(head);
-  if (!answer.is_other_runner) {
+  outcome.has_no_room = !answer.is_other_runner;
+  if (outcome.has_no_room) {
     RecordFullServer(view->entry.id, call.daemon.get());
-  }
-  if (answer.is_other_runner && answer.runner_id.empty()) {
+  } else if (answer.runner_id.empty()) {
     outcome.lacks_adapter = !call.headers.adapter.empty();
-  } else if (answer.is_other_runner) {
+  } else {
     outcome.lacks_adapter =
         !call.headers.adapter.empty() && answer.runner_id == view->entry.id;
     if (answer.runner_id != view->entry.id) {
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -10,6 +10,7 @@
 
 #include "platform/header_codec.h"
 #include "rosemaryhook/direct_daemon.h"
+#include "rosemaryhook/direct_places.h"
 #include "rosemaryhook/event_splitter.h"
 
 namespace rosemaryhook {
@@ -58,6 +59,7 @@
   bool is_trial = false;    // sent all the same, to learn whether it still does
   Time first_sent;          // to any backend server
   Time first_token;         // of the answer
+  CallPlace place;          // slot of a plain server, where hosts share them
 };
 
 // How an attempt ended.
@@ -79,6 +81,7 @@
   bool is_connection_refused = false;
   bool is_closed_by_peer = false;  // before the end of the answer
   bool lacks_adapter = false;      // refused: adapter or version is not loaded
+  bool has_no_room = false;        // refused: all slots are taken
   // Refused, but not provably: the request may have run.
   bool is_unproven_refusal = false;
   // Of the answer's head, if there was one.
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -22,6 +22,7 @@
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/metrics.h"
 #include "rosemaryhook/peer_message.h"
+#include "rosemaryhook/place_queue.h"
 #include "rosemaryhook/prompt_suspects.h"
 #include "rosemaryhook/repeat_limits.h"
 #include "rosemaryhook/runner_choice.h"
@@ -136,6 +137,39 @@
 // number, in order of arrival.
 using LimitedPlace = std::pair<int, int64_t>;
 
+// A slot of a plain server that a request of this host asks for or uses.
+struct HostPlace {
+  explicit HostPlace(const asio::any_io_executor& executor)
+      : changed(executor) {}
+  int64_t id = 0;
+  std::string service;
+  std::string coordinator;  // address
+  Time opened;
+  Time sent;              // the newest ask; Time() if none was sent
+  Time unanswered_since;  // Time() while the newest ask is answered
+  std::optional<PlaceAnswer> answer;
+  bool is_used = false;  // the request may be sent, or is
+  std::string server;    // that it uses
+  int64_t start_ms = 0;  // of the server
+  Time renewed;
+  Signal changed;
+};
+
+struct SharedService {
+  bool is_shared = false;                 // by all hosts
+  std::vector<std::string> coordinators;  // addresses, the preferred one first
+  std::string asked;                      // the newest that this host asked
+};
+
+// The slots of plain servers that all hosts share (direct_places.h).
+struct SharedPlaces {
+  std::map<std::string, SharedService> services;
+  std::map<std::string, Time> avoided;  // silent coordinators -> until when
+  std::map<int64_t, HostPlace*> open;   // by id
+  int64_t last_id = 0;
+  std::map<std::string, PlaceQueue> queues;  // that this host coordinates
+};
+
 struct DirectCall;
 
 struct DirectDaemon {
@@ -210,6 +244,7 @@
   Signal broadcast_signal;  // wakes the broadcast loop
 
   std::map<std::string, BrittleStatement> brittle_services;  // by service
+  SharedPlaces places;
 
   // Ways to the backend servers (direct_paths.h).
   ServerReach reach;
--- a/rosemaryhook/direct_limits.cc
+++ b/rosemaryhook/direct_limits.cc
@@ -179,6 +179,16 @@
   SendRefusedBy(runner, daemon);
 }
 
+void AddBrittle(const DirectDaemon& daemon, PeerMessage* message) {
+  const Time now = Now();
+  for (const auto& [service, statement] : daemon.brittle_services) {
+    if (statement.is_told_here) {
+      message->brittle[service] = {statement.refusals_per_s,
+                                   now - statement.as_of};
+    }
+  }
+}
+
 void MergePeerBrittle(const PeerMessage& message,
                       Time now,
                       DirectDaemon* daemon) {
--- a/rosemaryhook/direct_limits.h
+++ b/rosemaryhook/direct_limits.h
@@ -38,6 +38,10 @@
 // hosts if it is brittle.
 void RecordFullServer(const std::string& runner, DirectDaemon* daemon);
 
+// Adds what servers told this host itself of how brittle they are, so that
+// statements do not circulate.
+void AddBrittle(const DirectDaemon& daemon, PeerMessage* message);
+
 // Applies what another host was told of that.
 void MergePeerBrittle(const PeerMessage& message,
                       Time now,
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -12,6 +12,7 @@
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_peers.h"
+#include "rosemaryhook/direct_places.h"
 #include "rosemaryhook/direct_requests.h"
 #include "rosemaryhook/direct_store.h"
 #include "rosemaryhook/direct_stream_records.h"
@@ -320,6 +321,7 @@
   StartStreamVersions(daemon);
   StartStreamRecords(daemon);
   StartPaths(daemon);
+  StartPlaces(daemon);
   const auto executor = daemon->io.get_executor();
   StartLoop(executor, "callers", [=] { return Serve(servers->callers); });
   StartLoop(executor, "readiness", [=] { return Serve(servers->readiness); });
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -8,6 +8,7 @@
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
+#include "rosemaryhook/direct_places.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_store.h"
 #include "rosemaryhook/direct_stream_records.h"
@@ -90,6 +91,9 @@
   PeerHost& host = daemon->hosts[message.session];
   const std::string operators =
       message.operators.empty() ? host.operators : message.operators;
+  const double processor_share = message.processor_share > 0
+                                     ? message.processor_share
+                                     : host.processor_share;
   const Time started = host.session.empty()
                            ? now - message.age
                            : std::min(host.started, now - message.age);
@@ -108,7 +112,9 @@
           started + message.age,
           started,
           message.list_version,
-          message.records_streams};
+          message.records_streams,
+          message.shares_places,
+          processor_share};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
@@ -184,7 +190,11 @@
                       Time now,
                       DirectDaemon* daemon) {
   int64_t& number = daemon->peer_message_numbers[message.session];
-  if (message.session == daemon->session || message.number <= number) {
+  if (message.session == daemon->session) {
+    return;
+  }
+  HandlePlaces(message, now, daemon);
+  if (message.number <= number) {
     return;
   }
   number = message.number;
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -13,7 +13,9 @@
 #include "rosemaryhook/direct_call.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_lists.h"
+#include "rosemaryhook/direct_places.h"
 #include "rosemaryhook/direct_probes.h"
+#include "rosemaryhook/direct_refusals.h"
 #include "rosemaryhook/direct_stream_records.h"
 #include "rosemaryhook/direct_streams.h"
 #include "rosemaryhook/direct_suspects.h"
@@ -45,14 +47,6 @@
 // while a refusal leaves the caller time to retry.
 constexpr int kMaxWaitPercent = 60;
 
-// Retry-After where only other hosts send to the runners that could serve a
-// request. The caller's next attempt mostly reaches another host.
-constexpr Duration kLimitedRetryAfter = std::chrono::seconds(1);
-
-// Spread of the callers that return after pauses of runners.
-constexpr Duration kCallerReturnSpread = std::chrono::milliseconds(500);
-constexpr int64_t kReturnSteps = 1000;
-
 // Milliseconds from the arrival to `time`, -1 if `time` is not set.
 int64_t MillisSinceArrival(const DirectCall& call, Time time) {
   return time == Time() ? -1 : Millis(time - call.arrived);
@@ -265,12 +259,16 @@
 }
 
 // Chooses among the backend servers of `choice` that hold the adapter. Asks the
-// owners for their loads if there are several runners. Returns an empty id if
-// those asked about can no longer be used.
+// owners for their loads if there are several runners, and the coordinator for
+// a slot if all hosts share them. Returns an empty id if none can be used now.
 awaitable<std::string> PickHolder(DirectCall& call,
                                   const WantedRunner& wanted,
-                                  const RunnerChoice& choice) {
+                                  const RunnerChoice& choice,
+                                  Time wait_until) {
   DirectDaemon& daemon = *call.daemon;
+  if (SharesPlaces(daemon, wanted.service)) {
+    co_return co_await AwaitPlace(call, wanted, choice, wait_until);
+  }
   if (!wanted.has_engine || choice.holders.size() < 2) {
     co_return choice.runner->entry.id;
   }
@@ -302,49 +300,6 @@
   return choice.usable > 0 && choice.limits_used_up == choice.usable;
 }
 
-// Whether the request is to be refused at once, since the limits that its
-// runners have named leave no room for it before `wait_until`. Load pattern:
-// all runners of a service are in need, and more requests come than they take.
-bool ExceedsNamedLimits(const RunnerChoice& choice,
-                        const ScopedLimitedWait& limited_wait,
-                        Time wait_until,
-                        DirectCall* call) {
-  const Time expected = ExpectedAllowance(choice, limited_wait.CountAhead());
-  // A request that has a place keeps it while there is a rate at all.
-  const bool has_room = limited_wait.is_waiting() ? expected < Time::max()
-                                                  : expected < wait_until;
-  if (has_room) {
-    return false;
-  }
-  call->no_runner_reason = "limit_of_runners";
-  call->no_runner_retry_after =
-      expected == Time::max() ? kLimitedRetryAfter
-                              : std::max(kMinRetryAfter, expected - Now());
-  return true;
-}
-
-// The time after which the pauses that all runners of the service asked for let
-// a caller return. Differs by request, so that not all callers return at once.
-Duration RetryAfterPauses(const DirectCall& call, Time resume_at) {
-  const auto offset = static_cast<int64_t>(
-      std::hash<std::string>()(call.headers.request_id) % kReturnSteps);
-  return std::max(kMinRetryAfter, resume_at - Now()) +
-         kCallerReturnSpread * offset / kReturnSteps;
-}
-
-// Sets why the request is refused and when its caller should return.
-void RefuseWithoutRunner(const RunnerChoice& choice, DirectCall* call) {
-  if (choice.usable > 0) {
-    call->no_runner_reason = "no_runner_in_time";
-  } else if (choice.resume_at == Time::max()) {
-    call->no_runner_reason =
-        call->stream_software ? "no_runner_of_version" : "no_runner";
-  } else {
-    call->no_runner_reason = "runners_pause";
-    call->no_runner_retry_after = RetryAfterPauses(*call, choice.resume_at);
-  }
-}
-
 // Waits for a runner that holds the adapter and returns its id, empty if no
 // runner can serve the request in time.
 awaitable<std::string> PickRunner(DirectCall& call) {
@@ -387,7 +342,11 @@
                            &daemon);
       }
       daemon.pending_loads.erase(PendingKey(wanted));
-      const std::string least = co_await PickHolder(call, wanted, choice);
+      const std::string least =
+          co_await PickHolder(call, wanted, choice, wait_until);
+      if (call.place.is_refused) {
+        co_return std::string();
+      }
       if (least.empty()) {
         continue;
       }
@@ -560,6 +519,7 @@
     } else if (call.sends > 1) {
       LogAttempt(call, outcome, runner);
     }
+    ReleasePlace(outcome, &call);
     // A stream that ends with its connection may be that of a crashed runner.
     const bool may_be_cut = outcome.ends_with_connection && call.head_sent;
     if (outcome.end == AttemptEnd::kAnswered && !may_be_cut) {
@@ -593,6 +553,7 @@
     if (call.exchange != nullptr) {
       call.exchange->Cancel();
     }
+    WakePlaceWait(call);
     NotifyRunnerChange(call.daemon.get());
   });
   if (const auto refusal = ResolveCall(&call)) {
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -2,6 +2,8 @@
 // many small messages.
 #include "rosemaryhook/peer_message.h"
 
+#include <cmath>
+
 #include "rosemaryhook/bounded_cbor.h"
 
 namespace rosemaryhook {
@@ -189,6 +191,10 @@
                      probe->at(1).get<std::vector<std::string>>()};
   }
   message.answered_probe = json.value("c", int64_t{0});
+  message.shares_places = json.value("sp", false);
+  // In hundredths, as a short integer.
+  message.processor_share = json.value("cp", int64_t{0}) / 100.0;
+  message.places = PlacesFromJson(json);
   for (const Json& item : json.value("f", Json::array())) {
     message.sent.push_back({item.at(0).get<std::string>(),
                             item.at(1).get<std::string>(),
@@ -252,6 +258,13 @@
     json["c"] = message.answered_probe;
   }
   add("f", SentToJson(message.sent));
+  if (message.shares_places) {
+    json["sp"] = true;
+  }
+  if (message.processor_share > 0) {
+    json["cp"] = std::llround(message.processor_share * 100);
+  }
+  AddPlaces(message.places, &json);
   std::string bytes;
   Json::to_cbor(json, bytes);
   return bytes;
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -15,6 +15,7 @@
 #include "platform/store_codec.h"
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/fleet_state.h"
+#include "rosemaryhook/place_message.h"
 #include "rosemaryhook/runner_choice.h"
 
 namespace rosemaryhook {
@@ -108,6 +109,9 @@
   Json parts = Json::object();                 // prompt_suspects.h
   std::vector<PeerRecord> records;
   std::vector<std::string> records_written;  // keys, for the receiver
+  bool shares_places = false;  // takes part in sharing plain servers' slots
+  double processor_share = 0;  // cores; 0: not in every message
+  PeerPlaces places;
 };
 
 // Encodes a message as CBOR; ParsePeerMessage returns an error for bytes that
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -91,6 +91,8 @@
   Time started = {};             // of the session, by the fastest message
   int64_t list_version = 0;      // up to which it knew the list of servers then
   bool records_streams = false;  // writes records for others on request
+  bool shares_places = false;    // shares the slots of plain servers
+  double processor_share = 0;    // cores; 0 until it has said so
 };
 
 // When and how a host may order its own runner.
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -169,6 +169,10 @@
                     [](double value, Settings* settings) {
                       settings->order_lease = MillisOf(value);
                     }),
+      PlatformField("processor_share", "a number from 0.01 to 1024", 0.01, 1024,
+                    [](double value, Settings* settings) {
+                      settings->processor_share = value;
+                    }),
       PlatformField("rate_window_ms", "milliseconds from 1000 to 15000", 1000,
                     15000,
                     [](double value, Settings* settings) {
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -48,6 +48,8 @@
   RepeatBounds repeats;  // limits over all hosts
   // A customer's rate and burst are enforced over any period of this length.
   Duration rate_window = std::chrono::seconds(8);
+  // Cores that the host may use. Hosts with more take on more coordination.
+  double processor_share = 1;
   // Figures of the platform that were out of range, as "name=value" with the
   // value that is used.
   std::vector<std::string> adjusted;
