Release a slot at each coordinator that counts it, and repeat releases

A host that came back to a coordinator told it of the slots in use but released them only at the one that had granted them, so that the first coordinator kept them for a second and granted nothing: in the process test no request was served for 1.0 s after a stalled coordinator continued.

A lost release cost a slot for a second as well. The next message to the coordinator repeats releases.

--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -152,6 +152,7 @@
   std::string server;    // that it uses
   int64_t start_ms = 0;  // of the server
   Time renewed;
+  std::set<std::string> informed;  // coordinators that count its use
   Signal changed;
 };
 
@@ -167,6 +168,9 @@
   std::map<std::string, Time> avoided;  // silent coordinators -> until when
   std::map<int64_t, HostPlace*> open;   // by id
   int64_t last_id = 0;
+  // By coordinator: releases that were sent, to be sent once more with the next
+  // message in case of loss.
+  std::map<std::string, std::vector<PeerPlaceEnd>> ends_sent;
   std::map<std::string, PlaceQueue> queues;  // that this host coordinates
 };
 
--- a/rosemaryhook/direct_places.cc
+++ b/rosemaryhook/direct_places.cc
@@ -48,6 +48,9 @@
 // to it again. The shared retry budget bounds the sends of all requests.
 constexpr int kMaxRejections = 2;
 
+// Releases that are repeated in one message.
+constexpr size_t kMaxEndsSent = 16;
+
 // A request that waited this long for its slot is logged.
 constexpr Duration kLoggedWait = std::chrono::milliseconds(50);
 
@@ -242,6 +245,10 @@
   PeerMessage message = NewMessage(daemon);
   message.places.ends.push_back(end);
   SendPeerMessage(coordinator, message, daemon);
+  std::vector<PeerPlaceEnd>& sent = daemon->places.ends_sent[coordinator];
+  if (sent.size() < kMaxEndsSent) {
+    sent.push_back(end);
+  }
 }
 
 // The host to ask now; empty if the first in rank did not answer lately.
@@ -262,12 +269,27 @@
   return {};
 }
 
-// The slots in use of a service, to renew them.
+// Sends a message to a coordinator, with the releases that it may have lost.
+// Without these each lost release would cost a slot for kPlaceExpiry.
+void SendToCoordinator(const std::string& coordinator,
+                       PeerMessage message,
+                       DirectDaemon* daemon) {
+  const auto sent = daemon->places.ends_sent.find(coordinator);
+  if (sent != daemon->places.ends_sent.end()) {
+    message.places.ends = std::move(sent->second);
+    daemon->places.ends_sent.erase(sent);
+  }
+  SendPeerMessage(coordinator, message, daemon);
+}
+
+// The slots in use of a service, for a coordinator that may not know them.
 std::vector<PeerPlaceHeld> HeldOf(const std::string& service,
+                                  const std::string& coordinator,
                                   const DirectDaemon& daemon) {
   std::vector<PeerPlaceHeld> held;
   for (const auto& [id, place] : daemon.places.open) {
     if (place->is_used && place->service == service) {
+      place->informed.insert(coordinator);
       held.push_back({id, place->server, place->start_ms});
     }
   }
@@ -311,9 +333,9 @@
   std::string& last = daemon->places.services[place->service].asked;
   if (last != place->coordinator) {
     last = place->coordinator;
-    message.places.held = HeldOf(place->service, *daemon);
+    message.places.held = HeldOf(place->service, last, *daemon);
   }
-  SendPeerMessage(place->coordinator, message, daemon);
+  SendToCoordinator(place->coordinator, std::move(message), daemon);
 }
 
 // The servers of the service that the request may not use now.
@@ -476,12 +498,12 @@
       continue;
     }
     place->renewed = now;
-    if (const std::string coordinator =
-            CoordinatorOf(place->service, now, *daemon);
-        !coordinator.empty()) {
-      place->coordinator = coordinator;
+    std::string coordinator = CoordinatorOf(place->service, now, *daemon);
+    if (coordinator.empty()) {
+      coordinator = place->coordinator;
     }
-    held[place->coordinator].push_back({id, place->server, place->start_ms});
+    place->informed.insert(coordinator);
+    held[coordinator].push_back({id, place->server, place->start_ms});
   }
   for (auto& [coordinator, items] : held) {
     if (coordinator == daemon->settings.peers) {
@@ -491,7 +513,7 @@
     } else if (!coordinator.empty()) {
       PeerMessage message = NewMessage(daemon);
       message.places.held = std::move(items);
-      SendPeerMessage(coordinator, message, daemon);
+      SendToCoordinator(coordinator, std::move(message), daemon);
     }
   }
 }
@@ -509,12 +531,15 @@
       AddDecisions(RefuseHopeless(now, &queue), &answers);
     }
   }
-  std::erase_if(daemon->places.queues, [](const auto& entry) {
-    if (IsIdle(entry.second)) {
-      Log("place_queue", {{"service", entry.first}, {"state", "closed"}});
+  for (auto it = daemon->places.queues.begin();
+       it != daemon->places.queues.end();) {
+    if (!IsIdle(it->second)) {
+      ++it;
+      continue;
     }
-    return IsIdle(entry.second);
-  });
+    Log("place_queue", {{"service", it->first}, {"state", "closed"}});
+    it = daemon->places.queues.erase(it);
+  }
   SendAnswers(std::move(answers), daemon);
 }
 
@@ -612,7 +637,10 @@
   // Nothing was asked for yet where nothing was sent or used.
   if (place->is_used || place->sent != Time()) {
     daemon_->metrics.Count("place_ends_total", Label("end", kEndNames, end));
-    SendEnd(place->coordinator, {place->id, end}, daemon_);
+    place->informed.insert(place->coordinator);
+    for (const std::string& coordinator : place->informed) {
+      SendEnd(coordinator, {place->id, end}, daemon_);
+    }
   }
 }
 
@@ -740,7 +768,9 @@
       slots += std::max(0, server.slots);
     }
     SharedService& shared = daemon->places.services[service];
-    const bool is_shared = heard.do_all_share && slots > 0 &&
+    // A host that has just started does not know who may coordinate.
+    const bool knows_hosts = 2 * heard.candidates.size() > heard.count;
+    const bool is_shared = heard.do_all_share && knows_hosts && slots > 0 &&
                            slots < heard.count && !IsBrittle(*daemon, service);
     std::vector<std::string> coordinators;
     if (is_shared) {
