--- a/fuzz/peer_message.cc
+++ b/fuzz/peer_message.cc
@@ -22,6 +22,13 @@
 
   message.probe = {3, {"i-1"}};
   message.sent = {{"i-1", "m/a1", 10}};
+  message.shares_places = true;
+  message.processor_share = 0.5;
+  message.places.asks = {{1, "booking"}};
+  message.places.answers = {{1, {PlaceAnswerKind::kGranted, "i-1", 17, {}}},
+                            {2, {PlaceAnswerKind::kRefused}}};
+  message.places.ends = {{1, PlaceEnd::kNoRoom}};
+  message.places.held = {{1, "i-1", 17}};
   return {small, EncodePeerMessage(message)};
 }
 
--- a/rosemaryhook/direct_places.cc
+++ b/rosemaryhook/direct_places.cc
@@ -655,7 +655,11 @@
                                   Time wait_until) {
   DirectDaemon* daemon = call.daemon.get();
   const Time now = Now();
-  const Time latest = call.sends == 0 ? wait_until : call.deadline;
+  HostPlace* place = call.place.place();
+  // A request that was delayed before its first ask is not refused unasked.
+  const Time first = (place == nullptr ? now : place->opened) + kSilenceLimit;
+  const Time latest =
+      std::max(first, call.sends == 0 ? wait_until : call.deadline);
   const std::string coordinator = CoordinatorOf(wanted.service, now, *daemon);
   const std::set<std::string> excluded =
       ExcludedServers(*daemon, wanted, choice, call.place.unusable);
@@ -667,7 +671,6 @@
   if (call.place.uses_existing || coordinator.empty() || !is_any_left) {
     co_return UseExisting(choice.runner->entry.id, &call);
   }
-  HostPlace* place = call.place.place();
   if (place != nullptr && now >= latest) {
     Refuse(call.place.expected, latest, &call);
     co_return std::string();
