--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -92,6 +92,8 @@
   int64_t list_version = 0;      // up to which it knew the list of servers then
   bool records_streams = false;  // writes records for others on request
   bool relays_messages = false;  // forwards messages in its zone
+  bool shares_places = false;    // shares the slots of plain servers
+  double processor_share = 0;    // cores; 0 until it has said so
 };
 
 // When and how a host may order its own runner.
