Report usage windows to the platform by one holder at a time

Cause: deployments ask for one report of each usage window, from one host at a time, with a fencing number.

Change: hosts count runs by customer and window and send the totals to the holder and the first three in rank. The holder fixes the content of a window by a conditional row of table "usage" and sends what the row holds.

--- a/rosemaryhook/deployment.h
+++ b/rosemaryhook/deployment.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -59,6 +60,13 @@
   double loads_per_s = 0;  // base models read from the weight store, all hosts
 };
 
+// How many servers a service may have, and how long a new one takes to start.
+struct ScaleRule {
+  int min = 0;  // in each zone
+  int max = 0;
+  Duration boot{};
+};
+
 struct ServiceRule {
   std::string name;
   std::string health_path;
@@ -66,6 +74,7 @@
   double cold_per_s = 0;    // requests per second that a cold server sustains
   bool has_engine = false;
   EngineRule engine;
+  std::optional<ScaleRule> scale;  // empty: the number of servers is fixed
 };
 
 struct CustomerRule {
--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -6,6 +6,7 @@
 
 #include <utility>
 
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/list_sharing.h"
@@ -43,10 +44,6 @@
 // kClearingPeriod.
 constexpr Duration kPartSpread = std::chrono::milliseconds(100);
 
-// A host whose store calls failed and that had no answer within this time
-// announces that it cannot read the store for others.
-constexpr Duration kStoreReachableWindow = std::chrono::milliseconds(3000);
-
 // How long the send times of own messages are kept: longer than an answer of
 // the store lets an owner give orders.
 constexpr Duration kMessageTimeRetention = std::chrono::seconds(10);
@@ -62,11 +59,9 @@
   message.age = Now() - daemon->started;
   message.is_draining = daemon->is_draining;
   message.is_leaving = daemon->is_leaving;
-  message.is_store_reachable =
-      Now() - daemon->runner_contact.last_answer < kStoreReachableWindow ||
-      (!daemon->runner_contact.is_lost &&
-       Now() - daemon->runner_contact.fresh < kStoreReachableWindow);
   const Time now = Now();
+  message.is_store_reachable = IsStoreReachable(*daemon, now);
+  message.duties = OwnDuties(*daemon, now);
   message.is_cut_off = IsCutOff(daemon->reach, now);
   message.list_version = daemon->runner_contact.version;
   message.records_streams = true;
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -14,6 +14,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/answer_match.h"
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_orders.h"
@@ -332,11 +333,6 @@
   load.RecordPace(call->first_token);
 }
 
-bool IsStream(const HttpHead& head) {
-  return HeaderOf(head.headers, "Content-Type")
-      .starts_with("text/event-stream");
-}
-
 // Forwards an answer as it arrives, in complete events only if another backend
 // server can continue it.
 awaitable<AttemptOutcome> ForwardStream(DirectCall& call,
@@ -350,7 +346,7 @@
     co_await call.reply.Begin(head.status, platform::CallerAnswerHeaders(head));
   }
   call.events.partial.clear();
-  const bool has_events = IsStream(head);
+  const bool has_events = platform::IsEventStream(head);
   EventBoundary boundary;
   const int earlier_events = call.attempt_events;
   std::string data = std::move(first);
@@ -492,7 +488,7 @@
     co_return MakeOutcome(AttemptEnd::kUnknown,
                           "an answer that is not the runner's");
   }
-  if (is_success && IsStream(head)) {
+  if (is_success && platform::IsEventStream(head)) {
     co_return co_await ForwardStream(call, exchange, head, load, std::string());
   }
   if (call.head_sent) {
@@ -501,6 +497,7 @@
                           "answered with " + std::to_string(head.status) +
                               " where a stream was to be continued");
   }
+  CountRun(&call);
   co_return co_await ForwardBuffered(call, exchange, std::move(head), load);
 }
 
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -36,8 +36,9 @@
   HttpExchange* exchange = nullptr;  // of the attempt in progress
 
   std::set<std::string> tried;  // backend servers not to be used again
-  int sends = 0;  // attempts that may have reached a backend server
-  int runs = 0;   // attempts that a backend server may have run
+  int sends = 0;          // attempts that may have reached a backend server
+  int runs = 0;           // attempts that a backend server may have run
+  int counted_send = -1;  // `sends` when an attempt was last counted as usage
   std::string attempt_incarnation;  // of the newest attempt's runner
   int64_t attempt_start_ms = 0;     // of that runner
   bool attempt_has_begun = false;   // the newest attempt's answer has a body
--- a/rosemaryhook/direct_daemon.cc
+++ b/rosemaryhook/direct_daemon.cc
@@ -25,6 +25,10 @@
 // all cannot conclude that.
 constexpr Duration kDeadHostTimeout = std::chrono::seconds(20);
 
+// A host whose store calls failed and that had no answer within this time
+// announces that it cannot read the store for others.
+constexpr Duration kStoreReachableWindow = std::chrono::milliseconds(3000);
+
 constexpr NameTable<ListSource, 4> kListSourceNames{{
     {ListSource::kFull, "full"},
     {ListSource::kChanges, "changes"},
@@ -56,6 +60,12 @@
   return std::max(kMinQuorumTimeout, BroadcastInterval(hosts) * 4 / 3);
 }
 
+bool IsStoreReachable(const DirectDaemon& daemon, Time now) {
+  const StoreContact& contact = daemon.runner_contact;
+  return now - contact.last_answer < kStoreReachableWindow ||
+         (!contact.is_lost && now - contact.fresh < kStoreReachableWindow);
+}
+
 Quorum FleetQuorum(const DirectDaemon& daemon, Time now) {
   std::map<std::string, Time> newest;  // by address, which a restart keeps
   for (const auto& [session, host] : daemon.hosts) {
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -137,6 +137,7 @@
 using LimitedPlace = std::pair<int, int64_t>;
 
 struct DirectCall;
+struct DutyState;
 
 struct DirectDaemon {
   explicit DirectDaemon(asio::io_context& context)
@@ -188,6 +189,10 @@
       copies_due;       // adapter -> next copy may be ordered
   Time model_load_due;  // when this host may order the next base model load
 
+  // Duties (direct_duties.h).
+  RunnerOwnership duty_holders;
+  std::shared_ptr<DutyState> duties;  // null if there are none
+
   // Other hosts.
   asio::ip::udp::socket peer_socket;
   std::map<std::string, PeerHost> hosts;                // by session
@@ -261,6 +266,9 @@
 // while.
 Duration QuorumTimeout(size_t hosts);
 
+// Whether the store answers this host or, through list updates, another one.
+bool IsStoreReachable(const DirectDaemon& daemon, Time now);
+
 // The hosts reachable within QuorumTimeout, this one included, and the number
 // of all hosts that may be running.
 Quorum FleetQuorum(const DirectDaemon& daemon, Time now);
--- a/rosemaryhook/direct_era.cc
+++ b/rosemaryhook/direct_era.cc
@@ -67,6 +67,7 @@
   }
   daemon->store_era = era;
   BeginOwnershipEra(era, now, &daemon->ownership);
+  BeginOwnershipEra(era, now, &daemon->duty_holders);
   return is_restored ? EraNews::kNewer : EraNews::kKnown;
 }
 
--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -9,6 +9,7 @@
 #include "rosemaryhook/daemon_signals.h"
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_daemon.h"
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_peers.h"
@@ -256,6 +257,7 @@
   settings.operators = daemon->settings.operators;
   daemon->store.address = settings.table;
   daemon->ownership.lease = settings.order_lease;
+  daemon->duty_holders.lease = settings.order_lease;
   daemon->settings = std::move(settings);
   servers->settings_text = std::move(text);
   LogAdjusted(daemon->settings);
@@ -296,6 +298,7 @@
   daemon->ownership.zone = settings.zone;
   daemon->ownership.started = now;
   daemon->ownership.lease = settings.order_lease;
+  InitDuties(daemon);
 }
 
 awaitable<void> Start(DirectServersPtr servers) {
@@ -320,6 +323,7 @@
   StartStreamVersions(daemon);
   StartStreamRecords(daemon);
   StartPaths(daemon);
+  StartDuties(daemon);
   const auto executor = daemon->io.get_executor();
   StartLoop(executor, "callers", [=] { return Serve(servers->callers); });
   StartLoop(executor, "readiness", [=] { return Serve(servers->readiness); });
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_probes.h"
@@ -108,7 +109,8 @@
           started + message.age,
           started,
           message.list_version,
-          message.records_streams};
+          message.records_streams,
+          message.duties};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
@@ -237,6 +239,7 @@
   }
   HandleRecordRequests(message, now, daemon);
   RecordWritten(message.records_written, daemon);
+  RecordDutyMessage(message, now, daemon);
   MergePeerLimits(message, now, daemon);
   MergePeerBrittle(message, now, daemon);
   if (!message.parts.empty()) {
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -386,9 +386,9 @@
       co_await ReadOnce(daemon, polled);
     }
     if (daemon->owner_contact.version > 0) {
-      AdoptUnacknowledged(Now(), daemon.get());
+      AdoptUnacknowledged(kRunnerOwners, Now(), daemon.get());
       co_await ClaimRunners(daemon);
-      co_await RemoveWaits(daemon);
+      co_await RemoveWaits(daemon, kRunnerOwners);
       StartOwnedRunners(daemon);
     }
     const bool is_newly_started = Now() - daemon->started < kStartupWindow;
@@ -403,7 +403,7 @@
   const std::map<std::string, StoreContact DirectDaemon::*> lists{
       {platform::kOperatorTable, &DirectDaemon::operator_contact},
       {platform::kRunnerTable, &DirectDaemon::runner_contact},
-      {kOwnerTable, &DirectDaemon::owner_contact}};
+      {kRunnerOwners.name, &DirectDaemon::owner_contact}};
   const auto list = lists.find(update.list);
   if (list == lists.end()) {
     return;
@@ -438,7 +438,8 @@
   } else if (update.list == platform::kRunnerTable) {
     ApplyRunnerRows(rows, ReadScope::kChanges, daemon);
   } else {
-    ApplyOwnerRows(rows, ReadScope::kChanges, request_time, daemon);
+    ApplyOwnerRows(kRunnerOwners, rows, ReadScope::kChanges, request_time,
+                   daemon);
   }
 }
 
@@ -466,7 +467,7 @@
   StartLoop(executor, "operators",
             [=] { return PollTable(daemon, operators); });
   StartLoop(executor, "runners", [=] { return PollTable(daemon, runners); });
-  PolledTable owners{kOwnerTable,
+  PolledTable owners{kRunnerOwners.name,
                      "owners",
                      Duration::zero(),
                      kTablePollInterval,
@@ -474,7 +475,7 @@
                      {}};
   owners.apply = [state](const StoreRows& rows, ReadScope scope,
                          Time request_time) {
-    ApplyOwnerRows(rows, scope, request_time, state);
+    ApplyOwnerRows(kRunnerOwners, rows, scope, request_time, state);
   };
   StartLoop(executor, "owners", [=] { return PollOwners(daemon, owners); });
   StartLoop(executor, "register", [=] { return RegisterHost(daemon); });
--- a/rosemaryhook/direct_suspects.cc
+++ b/rosemaryhook/direct_suspects.cc
@@ -7,6 +7,7 @@
 
 #include "rosemaryhook/direct_admission.h"
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/list_sharing.h"
 #include "rosemaryhook/log.h"
@@ -273,6 +274,7 @@
 
 void RecordAnswerBegun(DirectCall* call) {
   call->attempt_has_begun = true;
+  CountRun(call);
   DirectDaemon& daemon = *call->daemon;
   const std::vector<std::string> cleared =
       RecordPartsBegun(call->part_keys, &daemon.prompt_suspects);
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -150,6 +150,34 @@
   return json;
 }
 
+Json DutiesToJson(const PeerDuties& duties) {
+  Json json = Json::array({duties.is_able, duties.is_holder, duties.era,
+                           duties.reported_until, duties.desired});
+  if (duties.wall_ahead_ms) {
+    json.push_back(*duties.wall_ahead_ms);
+  }
+  return json;
+}
+
+PeerDuties DutiesFromJson(const Json& json) {
+  PeerDuties duties{json.at(0).get<bool>(), json.at(1).get<bool>(),
+                    json.at(2).get<int64_t>(), json.at(3).get<int64_t>()};
+  duties.desired =
+      json.at(4).get<std::map<std::string, std::map<std::string, int>>>();
+  if (json.size() > 5) {
+    duties.wall_ahead_ms = json.at(5).get<int64_t>();
+  }
+  return duties;
+}
+
+Json UsageToJson(const std::vector<PeerUsage>& usage) {
+  Json json = Json::array();
+  for (const PeerUsage& item : usage) {
+    json.push_back(Json::array({item.window, item.session, item.counts}));
+  }
+  return json;
+}
+
 PeerMessage DecodeMessage(const Json& json) {
   PeerMessage message;
   message.session = json.at("s").get<std::string>();
@@ -183,6 +211,16 @@
     message.records.push_back(
         {item.at(0).get<std::string>(), item.at(1).get<std::string>()});
   }
+  if (const auto duties = json.find("du"); duties != json.end()) {
+    message.duties = DutiesFromJson(*duties);
+  }
+  for (const Json& item : json.value("us", Json::array())) {
+    message.usage.push_back({item.at(0).get<int64_t>(),
+                             item.at(1).get<std::string>(),
+                             item.at(2).get<std::map<std::string, int64_t>>()});
+  }
+  message.work =
+      Field<std::map<std::string, std::map<std::string, int>>>(json, "wo");
   message.records_written = Field<std::vector<std::string>>(json, "W");
   if (const auto probe = json.find("p"); probe != json.end()) {
     message.probe = {probe->at(0).get<int64_t>(),
@@ -245,6 +283,11 @@
   add("k", message.parts);
   add("S", RecordsToJson(message.records));
   add("W", message.records_written);
+  if (message.duties) {
+    json["du"] = DutiesToJson(*message.duties);
+  }
+  add("us", UsageToJson(message.usage));
+  add("wo", message.work);
   if (message.probe.id != 0) {
     json["p"] = Json::array({message.probe.id, message.probe.runners});
   }
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -108,6 +108,11 @@
   Json parts = Json::object();                 // prompt_suspects.h
   std::vector<PeerRecord> records;
   std::vector<std::string> records_written;  // keys, for the receiver
+  std::optional<PeerDuties> duties;
+  std::vector<PeerUsage> usage;
+  // Service -> zone -> requests that its servers there run for the sender. The
+  // zone is empty for those that wait for a server.
+  std::map<std::string, std::map<std::string, int>> work;
 };
 
 // Encodes a message as CBOR; ParsePeerMessage returns an error for bytes that
--- a/rosemaryhook/runner_ownership.cc
+++ b/rosemaryhook/runner_ownership.cc
@@ -70,26 +70,27 @@
 
 // How long the orders of a row's owner may still arrive after a claim for
 // `reason`, and then the lease.
-Duration WaitForOwner(ClaimReason reason, Duration lease) {
+Duration WaitForOwner(ClaimReason reason, const RunnerOwnership& ownership) {
   switch (reason) {
     case ClaimReason::kUnowned:
     case ClaimReason::kRestarted:
     case ClaimReason::kStoreRestored:
       return Duration::zero();
     case ClaimReason::kOwnerLeft:
-      return lease + kClockMargin;
+      return ownership.lease + kClockMargin;
     case ClaimReason::kOwnerSilent:
     case ClaimReason::kRowRemoved:
-      return kOrderContactTimeout + lease + kClockMargin;
+      return ownership.contact_timeout + ownership.lease + kClockMargin;
   }
   return Duration::zero();
 }
 
 // When a lease has passed since the last order of each owner before the row's.
-Time WaitEnd(const OwnerRow& row, Duration lease) {
-  return row.first_seen + (row.wait == kUnknownWait
-                               ? WaitForOwner(ClaimReason::kOwnerSilent, lease)
-                               : row.wait);
+Time WaitEnd(const OwnerRow& row, const RunnerOwnership& ownership) {
+  return row.first_seen +
+         (row.wait == kUnknownWait
+              ? WaitForOwner(ClaimReason::kOwnerSilent, ownership)
+              : row.wait);
 }
 
 int64_t FenceNumber(int64_t era, int64_t version) {
@@ -113,8 +114,8 @@
   const Duration era_wait = IsOfEra(row, ownership)
                                 ? Duration::zero()
                                 : ownership.era_wait_until - now;
-  return std::max({WaitForOwner(reason, ownership.lease),
-                   WaitEnd(row, ownership.lease) - now, era_wait});
+  return std::max({WaitForOwner(reason, ownership),
+                   WaitEnd(row, ownership) - now, era_wait});
 }
 
 // How long this host leaves a runner to others that may claim it first: to a
@@ -265,10 +266,10 @@
 void BeginOwnershipEra(int64_t era, Time now, RunnerOwnership* ownership) {
   if (ownership->era != 0 || era > kFirstEra) {
     ownership->era_wait_until =
-        now + WaitForOwner(ClaimReason::kOwnerSilent, ownership->lease);
+        now + WaitForOwner(ClaimReason::kOwnerSilent, *ownership);
   }
   ownership->kept_rights.clear();
-  if (now < ownership->contact + kOrderContactTimeout) {
+  if (now < ownership->contact + ownership->contact_timeout) {
     for (const auto& [runner, right] : ownership->order_rights) {
       if (IsOwn(*ownership, runner)) {
         ownership->kept_rights[runner] = right.from;
@@ -355,7 +356,7 @@
   for (const auto& [runner, row] : ownership->rows) {
     if (IsOwn(*ownership, runner) &&
         !ownership->order_rights.contains(runner)) {
-      ownership->order_rights[runner] = {WaitEnd(row, ownership->lease),
+      ownership->order_rights[runner] = {WaitEnd(row, *ownership),
                                          FenceNumber(row.era, row.version)};
       runners.push_back(runner);
     }
@@ -386,7 +387,7 @@
   return IsOwn(ownership, runner) && right != ownership.order_rights.end() &&
          now >= right->second.from &&
          ownership.contact >= right->second.from - ownership.lease &&
-         now < ownership.contact + kOrderContactTimeout;
+         now < ownership.contact + ownership.contact_timeout;
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -37,12 +37,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/time.h"
+#include "rosemaryhook/usage_windows.h"
 
 namespace rosemaryhook {
 
@@ -91,6 +93,7 @@
   Time started = {};             // of the session, by the fastest message
   int64_t list_version = 0;      // up to which it knew the list of servers then
   bool records_streams = false;  // writes records for others on request
+  std::optional<PeerDuties> duties;  // empty if it performs and counts none
 };
 
 // When and how a host may order its own runner.
@@ -105,6 +108,8 @@
   std::string zone;
   Time started;
   Duration lease = std::chrono::seconds(3);
+  // As kOrderContactTimeout; the same at all hosts that claim these rows.
+  Duration contact_timeout = kOrderContactTimeout;
   std::map<std::string, OwnerRow> rows;            // by runner
   std::map<std::string, OrderRight> order_rights;  // by own runner
   std::map<std::string, Time> unowned_since;  // first seen without a live owner
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -14,6 +14,7 @@
 #include <sstream>
 #include <vector>
 
+#include "platform/duty_codec.h"
 #include "rosemaryhook/enum_names.h"
 #include "rosemaryhook/http.h"
 
@@ -109,6 +110,42 @@
   return std::chrono::milliseconds(static_cast<int64_t>(value));
 }
 
+// Neither an address nor a window that cannot be used stops the host: it then
+// performs no duties, or reports no usage.
+bool SetDutyAddress(const std::string& text, Settings* settings) {
+  if (Failure(ParseAddress(text)) != nullptr) {
+    settings->adjusted.emplace_back("duty_address=");
+    return true;
+  }
+  settings->duty_address = text;
+  return true;
+}
+
+bool SetDuties(const std::string& text, Settings* settings) {
+  std::string unknown;
+  settings->duties = platform::ParseDuties(text, &unknown);
+  if (!unknown.empty()) {
+    settings->adjusted.push_back("duties-without=" + unknown);
+  }
+  return true;
+}
+
+// Windows of another length than the platform's would all be wrong.
+bool SetUsageWindow(const std::string& text, Settings* settings) {
+  constexpr double kMinWindowMs = 1000;
+  constexpr double kMaxWindowMs = 3'600'000;
+  const std::optional<double> value = ParseFinite(text);
+  if (!value) {
+    return false;
+  }
+  if (*value < kMinWindowMs || *value > kMaxWindowMs) {
+    settings->adjusted.emplace_back("usage_window_ms=0");
+  } else {
+    settings->usage_window = MillisOf(*value);
+  }
+  return true;
+}
+
 Setter SetBytes(size_t Settings::*member, int64_t low, int64_t high) {
   return [=](const std::string& text, Settings* settings) {
     int64_t value = 0;
@@ -187,6 +224,19 @@
                     [](double value, Settings* settings) {
                       settings->repeats.window = MillisOf(value);
                     }),
+      {"duty_address", kAddress, false, SetDutyAddress, true},
+      {"duties", "names separated by commas", false, SetDuties, true},
+      {"usage_window_ms", "milliseconds from 1000 to 3600000", false,
+       SetUsageWindow, true},
+      PlatformField("usage_late_ms", "milliseconds from 1000 to 3600000", 1000,
+                    3600000,
+                    [](double value, Settings* settings) {
+                      settings->usage_late = MillisOf(value);
+                    }),
+      PlatformField("duties_per_s", "a number from 1 to 10000", 1, 10000,
+                    [](double value, Settings* settings) {
+                      settings->duties_per_s = value;
+                    }),
       PlatformField("drain_limit_ms", "milliseconds from 1000 to 3600000", 1000,
                     3600000,
                     [](double value, Settings* settings) {
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -7,6 +7,7 @@
 #ifndef ROSEMARYHOOK_SETTINGS_H_
 #define ROSEMARYHOOK_SETTINGS_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
 
 std::string_view ServingModeName(ServingMode mode);
 
+// Tasks of the platform that one host at a time performs (direct_duties.h).
+enum class Duty { kUsageReport, kAutoscale };
+
 struct Settings {
   std::string host;
   std::string zone;
@@ -48,6 +52,12 @@
   RepeatBounds repeats;  // limits over all hosts
   // A customer's rate and burst are enforced over any period of this length.
   Duration rate_window = std::chrono::seconds(8);
+  // Duties; none if there is no address.
+  std::string duty_address;  // ip:port of the platform's API
+  std::set<Duty> duties;
+  Duration usage_window{};  // length; 0: no usage reports
+  Duration usage_late = std::chrono::seconds(10);  // due after a window's end
+  double duties_per_s = 50;  // calls that the API accepts from all hosts
   // Figures of the platform that were out of range, as "name=value" with the
   // value that is used.
   std::vector<std::string> adjusted;
--- /dev/null
+++ b/rosemaryhook/testing/duties_process_test.cc
@@ -0,0 +1,234 @@
+// Tests of the duties of the platform with real daemons and a stand-in of the
+// platform that checks its rules: one content for each window, fencing numbers
+// that never go down, and a lease between the calls of two hosts.
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+#include "rosemaryhook/testing/site.h"
+
+namespace rosemaryhook::testing {
+namespace {
+
+constexpr int kHosts = 3;
+constexpr int64_t kWindowMs = 5000;
+constexpr int64_t kLateMs = 10'000;
+
+// A window is over once its report is due, with time for the call.
+constexpr int64_t kSettledMs = kWindowMs + kLateMs + 500;
+
+class DutySite {
+ public:
+  explicit DutySite(int port)
+      : site({.port = port,
+              .hosts = kHosts,
+              .runners = 0,
+              .services = 2,
+              .lease_ms = 3000,
+              .has_duties = true}) {
+    for (int i = 0; i < kHosts; ++i) {
+      callers_.emplace_back([this, i] { Call(i); });
+    }
+  }
+  ~DutySite() {
+    is_ended_ = true;
+    for (std::thread& caller : callers_) {
+      caller.join();
+    }
+  }
+  DutySite(const DutySite&) = delete;
+  DutySite& operator=(const DutySite&) = delete;
+
+  // The host of the newest call, by its number.
+  int Holder() const {
+    const Json calls = site.Ledger()["duties"];
+    const std::string holder =
+        calls.empty() ? "" : calls.back()["holder"].get<std::string>();
+    return holder.empty() ? -1 : holder.back() - '0';
+  }
+
+  // Waits until a report was accepted whose window began after `from_ms`.
+  bool AwaitReport(int64_t from_ms) const {
+    return Await(30, [&] {
+      const Json calls = site.Ledger()["duties"];
+      return !calls.empty() && calls.back()["status"] == 200 &&
+             calls.back()["body"]["window"].get<int64_t>() * kWindowMs >
+                 from_ms;
+    });
+  }
+
+  // Whether the window was reported in time, each count within a twentieth.
+  bool IsReported(int64_t window, const Json& ledger) const {
+    const Json actual =
+        ledger["usage"].value(std::to_string(window), Json::object());
+    for (const Json& call : ledger["duties"]) {
+      if (call["body"]["window"] != window || call["status"] != 200) {
+        continue;
+      }
+      const bool is_late =
+          call["wall_ms"].get<int64_t>() > (window + 1) * kWindowMs + kLateMs;
+      const Json& counts = call["body"]["counts"];
+      bool is_right = counts.size() == actual.size();
+      for (const auto& [customer, count] : actual.items()) {
+        const double reported = counts.value(customer, 0.0);
+        is_right = is_right && std::abs(reported - count.get<double>()) <=
+                                   0.05 * count.get<double>();
+      }
+      BOOST_TEST_MESSAGE("window " << window << " actual " << actual
+                                   << " reported " << counts << " after end "
+                                   << call["wall_ms"].get<int64_t>() -
+                                          (window + 1) * kWindowMs);
+      return is_right && !is_late;
+    }
+    BOOST_TEST_MESSAGE("window " << window << " not reported");
+    return false;
+  }
+
+  // Of the windows from `from_ms` whose reports are due; the total is `*due`.
+  int Reported(int64_t from_ms, int* due) const {
+    const Json ledger = site.Ledger();
+    int reported = 0;
+    *due = 0;
+    for (int64_t window = from_ms / kWindowMs + 1;
+         window * kWindowMs + kSettledMs < WallMillis(); ++window) {
+      ++*due;
+      reported += IsReported(window, ledger) ? 1 : 0;
+    }
+    return reported;
+  }
+
+  void CheckRules() const {
+    const Json broken = site.Ledger()["broken_rules"];
+    BOOST_TEST(broken.empty(), broken.dump());
+  }
+
+  Site site;
+  std::atomic<bool> is_paused[kHosts] = {};  // callers of the host
+
+ private:
+  // Two customers send to one host.
+  void Call(int host) {
+    for (int i = 0; !is_ended_; ++i) {
+      if (is_paused[host]) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        continue;
+      }
+      const std::string id = std::to_string(host) + "-" + std::to_string(i);
+      std::map<std::string, std::string> headers{{"X-Attempt-Id", id}};
+      if (i % 3 == 0) {
+        headers["Authorization"] = std::string("Bearer ") + kOtherKey;
+      }
+      site.Send(host, "/look/1", headers, "pig");
+      std::this_thread::sleep_for(std::chrono::milliseconds(25));
+    }
+  }
+
+  std::atomic<bool> is_ended_ = false;
+  std::vector<std::thread> callers_;
+};
+
+void SleepSeconds(int seconds) {
+  std::this_thread::sleep_for(std::chrono::seconds(seconds));
+}
+
+BOOST_AUTO_TEST_SUITE(duties)
+
+// Guards against windows that are reported late, twice, with the runs of other
+// windows or without those of other hosts; and against calls that the API does
+// not accept at once.
+BOOST_AUTO_TEST_CASE(each_window_is_reported_once) {
+  DutySite duties(28100);
+  BOOST_TEST(duties.AwaitReport(0));
+  const int64_t from = WallMillis();
+  duties.site.Fault({{"duty_busy", 3}});
+  SleepSeconds(35);
+  int due = 0;
+  const int reported = duties.Reported(from, &due);
+  BOOST_TEST(due >= 3);
+  BOOST_TEST(reported == due);
+  std::map<int64_t, int> accepted;
+  for (const Json& call : duties.site.Ledger()["duties"]) {
+    accepted[call["body"]["window"].get<int64_t>()] += call["status"] == 200;
+  }
+  for (const auto& [window, times] : accepted) {
+    BOOST_TEST(times == 1);
+  }
+  duties.CheckRules();
+}
+
+// A window is fixed and its holder dies: the next one sends the same content.
+BOOST_AUTO_TEST_CASE(the_next_holder_sends_what_the_last_has_fixed) {
+  DutySite duties(28200);
+  BOOST_TEST(duties.AwaitReport(0));
+  const int holder = duties.Holder();
+  duties.site.Fault({{"duty_down", true}});
+  const std::string fixed = "event=usage_window ";
+  const size_t before = duties.site.LogOf(holder).rfind("state=fixed");
+  Await(10, [&] {
+    return duties.site.LogOf(holder).rfind("state=fixed") != before;
+  });
+  duties.is_paused[holder] = true;
+  duties.site.Kill(duties.site.host(holder));
+  const int64_t killed = WallMillis();
+  duties.site.Fault({{"duty_down", false}});
+  // The window that was fixed last.
+  const int64_t window = killed / kWindowMs - 1;
+  BOOST_TEST(Await(30, [&] {
+    for (const Json& call : duties.site.Ledger()["duties"]) {
+      if (call["body"]["window"].get<int64_t>() >= window &&
+          call["status"] == 200) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  BOOST_TEST(duties.Holder() != holder);
+  SleepSeconds(20);
+  int due = 0;
+  const int reported = duties.Reported(killed + kWindowMs, &due);
+  BOOST_TEST(due >= 3);
+  BOOST_TEST(reported == due);
+  duties.CheckRules();
+}
+
+// A holder that does not run is replaced, and does not call when it goes on.
+BOOST_AUTO_TEST_CASE(a_paused_holder_does_not_call_any_more) {
+  DutySite duties(28300);
+  BOOST_TEST(duties.AwaitReport(0));
+  const int holder = duties.Holder();
+  duties.is_paused[holder] = true;
+  duties.site.Signal(duties.site.host(holder), SIGSTOP);
+  BOOST_TEST(Await(30, [&] { return duties.Holder() != holder; }));
+  duties.site.Signal(duties.site.host(holder), SIGCONT);
+  const int64_t resumed = WallMillis();
+  SleepSeconds(22);
+  BOOST_TEST(duties.Holder() != holder);
+  int due = 0;
+  const int reported = duties.Reported(resumed, &due);
+  BOOST_TEST(due >= 1);
+  BOOST_TEST(reported == due);
+  duties.CheckRules();
+}
+
+// Nothing can be fixed while the store is away; the windows are then reported
+// with what was counted meanwhile.
+BOOST_AUTO_TEST_CASE(windows_of_a_store_outage_are_reported_afterwards) {
+  DutySite duties(28400);
+  BOOST_TEST(duties.AwaitReport(0));
+  const int64_t from = WallMillis();
+  duties.site.Fault({{"store_down", true}});
+  SleepSeconds(5);
+  duties.site.Fault({{"store_down", false}});
+  SleepSeconds(27);
+  int due = 0;
+  const int reported = duties.Reported(from, &due);
+  BOOST_TEST(due >= 3);
+  BOOST_TEST(reported == due);
+  duties.CheckRules();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace rosemaryhook::testing
--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -26,6 +26,11 @@
 // version}: these backend servers restart with that version of their software,
 // which names itself in the events; GET /ledger lists the versions that
 // answered a request as "software").
+//
+// With --duty-port it also answers POST /usage and /desired-scale there, and
+// GET /ledger lists these calls as "duties", what broke a rule of them as
+// "broken_rules", and the runs of each customer by window as "usage". Faults:
+// duty_down (503), duty_slow_ms, duty_busy (the next N calls get 429).
 #include <openssl/evp.h>
 
 #include <CLI/CLI.hpp>
@@ -92,7 +97,12 @@
   std::map<std::string, std::set<std::string>> software;
   Json orders = Json::array();
   Json crashing =
-      Json::array();           // times at which crashing requests began to run
+      Json::array();            // times at which crashing requests began to run
+  Json duties = Json::array();  // calls to the API for duties
+  Json broken_rules = Json::array();
+  std::map<std::string, std::map<std::string, int64_t>> usage;  // by window
+  int64_t window_ms = 5000;
+  int64_t lease_ms = 3000;
   Duration service_time;       // of a request on a plain backend server
   std::string leaked_headers;  // that must not reach a backend server
 };
@@ -254,7 +264,8 @@
   return {{"runs", site.runs},          {"customers", site.customers},
           {"orders", site.orders},      {"crashing", site.crashing},
           {"most_held", peak_adapters}, {"leaks", site.leaked_headers},
-          {"software", site.software}};
+          {"software", site.software},  {"duties", site.duties},
+          {"usage", site.usage},        {"broken_rules", site.broken_rules}};
 }
 
 Backend* FindBackend(Site* site, const std::string& id) {
@@ -369,6 +380,72 @@
   }
 }
 
+// Counts a run for its customer at the time of its first event, or of its
+// answer's head.
+void CountRun(const HttpRequest& request, Site* site) {
+  const std::string window = std::to_string(WallMillis() / site->window_ms);
+  ++site->usage[window][HeaderOf(request, "X-Tenant")];
+}
+
+// What the call breaks of the rules, given the calls before it; empty if
+// nothing. The lease is checked for any two hosts that follow each other, which
+// is stricter than the platform's rule.
+std::string BrokenRule(const Site& site, const Json& call) {
+  for (const Json& earlier : site.duties) {
+    if (earlier.at("subject") != call.at("subject")) {
+      continue;
+    }
+    const bool is_same_host = earlier.at("holder") == call.at("holder");
+    if (call.at("fence") < earlier.at("fence")) {
+      return "a lower fencing number";
+    }
+    if (call.at("fence") == earlier.at("fence") && !is_same_host) {
+      return "two hosts with one fencing number";
+    }
+    if (!is_same_host &&
+        call.at("at_ms").get<int64_t>() - earlier.at("at_ms").get<int64_t>() <
+            site.lease_ms) {
+      return "two hosts within the lease";
+    }
+    if (earlier.at("body").value("window", -1) ==
+            call.at("body").value("window", -2) &&
+        earlier.at("body") != call.at("body")) {
+      return "two contents of one window";
+    }
+  }
+  return "";
+}
+
+awaitable<void> ServeDuties(Site* site,
+                            const HttpRequest& request,
+                            HttpReply& reply) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  const bool is_usage = request.target == "/usage" && body.is_object();
+  if (!is_usage && request.target != "/desired-scale") {
+    co_return (void) co_await SendJson(reply, 404, Json::object());
+  }
+  Json call{{"subject", is_usage ? "usage"
+                                 : body.value("service", "") + "/" +
+                                       body.value("zone", "")},
+            {"holder", HeaderOf(request, "X-Duty-Holder")},
+            {"fence", std::stoll(HeaderOf(request, "X-Fencing-Token"))},
+            {"at_ms", Millis(Now().time_since_epoch())},
+            {"wall_ms", WallMillis()},
+            {"body", body}};
+  const std::string broken = BrokenRule(*site, call);
+  if (!broken.empty()) {
+    site->broken_rules.push_back({{"rule", broken}, {"call", call}});
+  }
+  const int status = site->faults.IsOn("duty_down")         ? 503
+                     : site->faults.ConsumeOne("duty_busy") ? 429
+                                                            : 200;
+  call["status"] = status;
+  site->duties.push_back(std::move(call));
+  co_await Sleep(
+      std::chrono::milliseconds(site->faults.Number("duty_slow_ms")));
+  co_await SendJson(reply, status, Json::object());
+}
+
 void FinishLoads(Backend* backend) {
   std::erase_if(backend->loading, [&](const auto& load) {
     if (load.second > Now()) {
@@ -514,6 +591,7 @@
   const std::string mark =
       backend->software == kFirstSoftware ? "" : "/" + backend->software;
   co_await reply.Begin(200, std::move(headers));
+  CountRun(request, site);
   for (; next <= kEventsPerStream; ++next) {
     if (crashes && next == crash_at) {
       co_return co_await AbortByCrash(site, backend, incarnation, reply);
@@ -564,6 +642,7 @@
   }
   Headers headers{{"X-Attempt-Id", id}, {"X-Server-Stamp", "stamp-" + id}};
   if (site->faults.ConsumeOne("fail")) {
+    CountRun(request, site);
     co_return (void) co_await reply.Send(500, std::move(headers), "failed");
   }
   if (backend->has_engine) {
@@ -578,6 +657,7 @@
   if (backend->incarnation != incarnation) {
     co_return reply.Abort();
   }
+  CountRun(request, site);
   co_await reply.Send(200, std::move(headers), "ok " + request.body);
 }
 
@@ -659,6 +739,7 @@
             int runners,
             int services,
             int advertise_port,
+            int duty_port,
             Duration service_time) {
   std::signal(SIGPIPE, SIG_IGN);
   asio::io_context io(1);
@@ -668,6 +749,12 @@
             [&site](const HttpRequest& request, HttpReply& reply) {
               return ServeStore(&site, request, reply);
             });
+  if (duty_port > 0) {
+    AddServer(&site, fmt::format("{}:{}", ip, duty_port),
+              [&site](const HttpRequest& request, HttpReply& reply) {
+                return ServeDuties(&site, request, reply);
+              });
+  }
   for (int i = 0; i < runners + services; ++i) {
     auto backend = std::make_shared<Backend>();
     backend->has_engine = i < runners;
@@ -704,11 +791,13 @@
   app.add_option(
       "--advertise-port", advertise_port,
       "port in the first backend server's entry; 0: the listening port");
+  int duty_port = 0;
+  app.add_option("--duty-port", duty_port, "port of the API for duties");
   app.add_option("--work-ms", service_time_ms,
                  "time of a request on a plain backend server");
   CLI11_PARSE(app, argc, argv);
   return rosemaryhook::testing::RunSite(
       ip, port, runners, services,
-      advertise_port == 0 ? port + 1 : advertise_port,
+      advertise_port == 0 ? port + 1 : advertise_port, duty_port,
       std::chrono::milliseconds(service_time_ms));
 }
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -45,7 +45,9 @@
                 "--runners", std::to_string(options_.runners), "--services",
                 std::to_string(options_.services), "--work-ms",
                 std::to_string(options_.work_ms), "--advertise-port",
-                std::to_string(options_.port + (options_.is_proxied ? 70 : 1))},
+                std::to_string(options_.port + (options_.is_proxied ? 70 : 1)),
+                "--duty-port",
+                std::to_string(options_.has_duties ? options_.port + 90 : 0)},
                0};
   Start(platform_);
   Await(30,
@@ -107,7 +109,13 @@
       options_.has_host_addresses
           ? fmt::format("source_address: {}\n", HostIp(host))
           : "";
-  return source +
+  const std::string duties =
+      options_.has_duties ? fmt::format(
+                                "duty_address: {}\nduties: usage_report\n"
+                                "usage_window_ms: 5000\nusage_late_ms: 10000\n",
+                                Address(90))
+                          : "";
+  return source + duties +
          fmt::format(
              "host: entry-{}\nzone: zone-{}\nserving: direct\ncallers: {}\n"
              "readiness: {}\npeers: {}\noperators: {}\ntable: {}\n"
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -41,6 +41,7 @@
   // Each host has a loopback address of its own, 127.0.0.2 and up, from which
   // its connections come.
   bool has_host_addresses = false;
+  bool has_duties = false;  // the hosts report usage
 };
 
 class Site {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -9,7 +9,7 @@
   runner_ownership_leaving send_pause server_path send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
   token_limits_restart token_record named_limit task request_framing
-  stream_recorders stream_versions)
+  scale_plan stream_recorders stream_versions usage_windows)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
@@ -39,7 +39,7 @@
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
   crashing_requests retry_storm repeat_rules order lost_paths
-  brittle_servers)
+  brittle_servers duties)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc rosemaryhook/testing/port_block.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -168,7 +168,11 @@
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
   lost_paths/an_answer_that_breaks_off_in_a_tunnel_is_not_complete
   brittle_servers/servers_do_not_fall_over_in_a_peak
-  brittle_servers/a_host_that_has_just_started_lets_no_server_fall_over)
+  brittle_servers/a_host_that_has_just_started_lets_no_server_fall_over
+  duties/each_window_is_reported_once
+  duties/the_next_holder_sends_what_the_last_has_fixed
+  duties/a_paused_holder_does_not_call_any_more
+  duties/windows_of_a_store_outage_are_reported_afterwards)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
