--- a/rosemaryhook/direct_main.cc
+++ b/rosemaryhook/direct_main.cc
@@ -10,6 +10,7 @@
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_daemon.h"
 #include "rosemaryhook/direct_datagrams.h"
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_peers.h"
@@ -260,6 +261,7 @@
   settings.operators = daemon->settings.operators;
   daemon->store.address = settings.table;
   daemon->ownership.lease = settings.order_lease;
+  daemon->duty_holders.lease = settings.order_lease;
   daemon->settings = std::move(settings);
   servers->settings_text = std::move(text);
   LogAdjusted(daemon->settings);
@@ -300,6 +302,7 @@
   daemon->ownership.zone = settings.zone;
   daemon->ownership.started = now;
   daemon->ownership.lease = settings.order_lease;
+  InitDuties(daemon);
 }
 
 awaitable<void> Start(DirectServersPtr servers) {
@@ -326,6 +329,7 @@
   StartPaths(daemon);
   StartTrafficLog(daemon);
   StartPlaces(daemon);
+  StartDuties(daemon);
   const auto executor = daemon->io.get_executor();
   StartLoop(executor, "callers", [=] { return Serve(servers->callers); });
   StartLoop(executor, "readiness", [=] { return Serve(servers->readiness); });
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -7,6 +7,7 @@
 
 #include "rosemaryhook/direct_broadcast.h"
 #include "rosemaryhook/direct_datagrams.h"
+#include "rosemaryhook/direct_duties.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_places.h"
@@ -131,7 +132,8 @@
           message.records_streams,
           message.relays_messages,
           message.shares_places,
-          processor_share};
+          processor_share,
+          message.duties};
 }
 
 // Sets the load of the other hosts to the sum of what they reported, if this
@@ -269,6 +271,7 @@
   }
   HandleRecordRequests(message, now, daemon);
   RecordWritten(message.records_written, daemon);
+  RecordDutyMessage(message, now, daemon);
   MergePeerLimits(message, now, daemon);
   MergePeerBrittle(message, now, daemon);
   if (!message.parts.empty()) {
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -116,6 +116,11 @@
   bool shares_places = false;  // takes part in sharing plain servers' slots
   double processor_share = 0;  // cores; 0: not in every message
   PeerPlaces places;
+  std::optional<PeerDuties> duties;
+  std::vector<PeerUsage> usage;
+  // Service -> zone -> requests that its servers there run for the sender. The
+  // zone is empty for those that wait for a server.
+  std::map<std::string, std::map<std::string, int>> work;
 };
 
 // Encodes a message as CBOR; ParsePeerMessage returns an error for bytes that
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -37,12 +37,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/time.h"
+#include "rosemaryhook/usage_windows.h"
 
 namespace rosemaryhook {
 
@@ -94,6 +96,7 @@
   bool relays_messages = false;  // forwards messages in its zone
   bool shares_places = false;    // shares the slots of plain servers
   double processor_share = 0;    // cores; 0 until it has said so
+  std::optional<PeerDuties> duties;  // empty if it performs and counts none
 };
 
 // When and how a host may order its own runner.
@@ -108,6 +111,8 @@
   std::string zone;
   Time started;
   Duration lease = std::chrono::seconds(3);
+  // As kOrderContactTimeout; the same at all hosts that claim these rows.
+  Duration contact_timeout = kOrderContactTimeout;
   std::map<std::string, OwnerRow> rows;            // by runner
   std::map<std::string, OrderRight> order_rights;  // by own runner
   std::map<std::string, Time> unowned_since;  // first seen without a live owner
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -11,7 +11,8 @@
   token_limits_restart token_record named_limit task request_framing
   stream_recorders stream_versions zone_relays
   waiting_order place_message place_queue
-  shared_services)
+  shared_services
+  scale_plan stream_recorders stream_versions usage_windows)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
@@ -41,7 +42,8 @@
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
   crashing_requests retry_storm repeat_rules order lost_paths
-  brittle_servers shared_places)
+  brittle_servers shared_places
+  brittle_servers duties)
 set(PROCESS_SOURCES rosemaryhook/testing/unit_main.cc
   rosemaryhook/testing/scripted_server.cc rosemaryhook/testing/port_block.cc
   rosemaryhook/testing/fleet.cc rosemaryhook/testing/processes.cc
@@ -172,7 +174,11 @@
   brittle_servers/servers_do_not_fall_over_in_a_peak
   brittle_servers/a_host_that_has_just_started_lets_no_server_fall_over
   shared_places/servers_reject_few_requests
-  shared_places/a_coordinator_that_stalls_or_dies_holds_nothing_up)
+  shared_places/a_coordinator_that_stalls_or_dies_holds_nothing_up
+  duties/each_window_is_reported_once
+  duties/the_next_holder_sends_what_the_last_has_fixed
+  duties/a_paused_holder_does_not_call_any_more
+  duties/windows_of_a_store_outage_are_reported_afterwards)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
