Weigh adapter copies and loads by value where adapters outnumber slots

A host asked for a copy of an adapter whenever its own view of two delays differed, and each copy evicted an adapter that was needed a little later. Owners now offer copies from the demand and the lasting delay that they measure, and the owner of the target weighs them against its victim.

--- a/rosemaryhook/adapter_demand.cc
+++ b/rosemaryhook/adapter_demand.cc
@@ -11,6 +11,15 @@
 // Popularity shifts within some seconds.
 constexpr Duration kAgeing = std::chrono::seconds(5);
 
+// Where there are more adapters than slots, those at the margin are used once
+// in ten to twenty seconds, and an average over kAgeing cannot tell them from
+// adapters that were requested once.
+constexpr Duration kSteadyAgeing = std::chrono::seconds(20);
+
+// Weight of the newest request in the mean excess of delay. A single long
+// prompt delays a few requests and is gone before a copy is loaded.
+constexpr double kExcessSmoothing = 0.1;
+
 // Demand below this is forgotten: one short prompt some twenty seconds ago.
 constexpr double kMinTokensPerSecond = 1;
 
@@ -18,9 +27,13 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-double RateAt(const AdapterDemand::Rate& rate, Time now) {
+double Decay(const AdapterDemand::Rate& rate, Duration ageing, Time now) {
   const Duration age = std::max(Duration::zero(), now - rate.at);
-  return rate.tokens_per_s * std::exp(-SecondsOf(age) / SecondsOf(kAgeing));
+  return std::exp(-SecondsOf(age) / SecondsOf(ageing));
+}
+
+double RateAt(const AdapterDemand::Rate& rate, Time now) {
+  return rate.tokens_per_s * Decay(rate, kAgeing, now);
 }
 
 }  // namespace
@@ -35,7 +48,12 @@
     });
   }
   AdapterDemand::Rate& rate = demand->rates[adapter];
-  rate = {RateAt(rate, now) + prompt_tokens / SecondsOf(kAgeing), now};
+  rate = {
+      RateAt(rate, now) + prompt_tokens / SecondsOf(kAgeing), now,
+      rate.recent_per_s * Decay(rate, kAgeing, now) + 1 / SecondsOf(kAgeing),
+      rate.steady_per_s * Decay(rate, kSteadyAgeing, now) +
+          1 / SecondsOf(kSteadyAgeing),
+      rate.excess_ms};
 }
 
 double DemandOf(const AdapterDemand& demand,
@@ -45,6 +63,37 @@
   return rate == demand.rates.end() ? 0 : RateAt(rate->second, now);
 }
 
+double RecentRequests(const AdapterDemand& demand,
+                      const std::string& adapter,
+                      Time now) {
+  const auto rate = demand.rates.find(adapter);
+  return rate == demand.rates.end()
+             ? 0
+             : rate->second.recent_per_s * Decay(rate->second, kAgeing, now);
+}
+
+double SteadyRequests(const AdapterDemand& demand,
+                      const std::string& adapter,
+                      Time now) {
+  const auto rate = demand.rates.find(adapter);
+  return rate == demand.rates.end()
+             ? 0
+             : rate->second.steady_per_s *
+                   Decay(rate->second, kSteadyAgeing, now);
+}
+
+double RecordExcess(const std::string& adapter,
+                    double excess_ms,
+                    AdapterDemand* demand) {
+  const auto rate = demand->rates.find(adapter);
+  if (rate == demand->rates.end()) {
+    return 0;
+  }
+  double& mean = rate->second.excess_ms;
+  mean += kExcessSmoothing * (excess_ms - mean);
+  return mean;
+}
+
 int CopiesWanted(int holders, double tokens_per_s) {
   return static_cast<int>(
       std::ceil(holders * tokens_per_s / kCopyTokensPerSecond));
--- a/rosemaryhook/adapter_demand.h
+++ b/rosemaryhook/adapter_demand.h
@@ -34,6 +34,14 @@
   struct Rate {
     double tokens_per_s = 0;  // at `at`; decays exponentially
     Time at;
+    // Requests, over the time of `tokens_per_s` and over a longer one. The
+    // latter tells adapters in steady use from those requested once, also where
+    // an adapter is used once in some ten seconds.
+    double recent_per_s = 0;
+    double steady_per_s = 0;
+    // Mean delay of the recent requests above that at the least busy runner
+    // that could load a copy.
+    double excess_ms = 0;
   };
   std::map<std::string, Rate> rates;  // by adapter
 };
@@ -51,6 +59,21 @@
                 const std::string& adapter,
                 Time now);
 
+// Requests a second for `adapter`, over some seconds and over some tens of
+// seconds.
+double RecentRequests(const AdapterDemand& demand,
+                      const std::string& adapter,
+                      Time now);
+double SteadyRequests(const AdapterDemand& demand,
+                      const std::string& adapter,
+                      Time now);
+
+// Records the delay of the request that was recorded last, above that at a
+// runner that could load a copy. Returns the mean of the recent requests.
+double RecordExcess(const std::string& adapter,
+                    double excess_ms,
+                    AdapterDemand* demand);
+
 // How many runners should hold an adapter that `holders` hold now, if one of
 // them sees `tokens_per_s` of its demand.
 int CopiesWanted(int holders, double tokens_per_s);
--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -18,6 +18,14 @@
 // Waiting requests renew their load request at shorter intervals than this.
 constexpr Duration kWantedTimeout = std::chrono::milliseconds(1500);
 
+// The same where loads are weighed: two renewals lost and the lag of a busy
+// host. A load for requests that have gone evicts an adapter for nothing.
+constexpr Duration kWeighedWantedTimeout = std::chrono::milliseconds(600);
+
+// Adapters that a runner keeps in its memory beside those in its slots, as
+// observed; the least recently held are dropped.
+constexpr size_t kMaxKeptInMemory = 54;
+
 // An adapter used within this time is not unloaded. Hosts report running
 // requests to the owner four times a second, so this covers a lost message.
 constexpr Duration kRecentUseWindow = std::chrono::milliseconds(700);
@@ -88,16 +96,25 @@
   return plan.previously_held.contains(adapter);
 }
 
+bool CanBeInTime(const WaitingAdapter& waiting,
+                 Time now,
+                 const AdapterPlan& plan) {
+  const Duration load_time =
+      IsWarm(plan, waiting.adapter) ? kWarmLoadTime : kColdLoadTime;
+  return now + load_time <= waiting.useful_until;
+}
+
 // Orders the adapters that wait: those whose load ends in time for a request
 // first, then by demand, then by age; copies, for which no request waits, last.
+// Where loads are weighed, those from the runner's memory precede the others of
+// the same kind: they take a tenth of the time and cost no fetch.
 bool PrecedesInQueue(const WaitingAdapter& a,
                      const WaitingAdapter& b,
                      Time now,
                      const AdapterPlan& plan) {
   const auto rank = [&](const WaitingAdapter& waiting) {
-    const Duration load_time =
-        IsWarm(plan, waiting.adapter) ? kWarmLoadTime : kColdLoadTime;
-    return std::tuple(waiting.is_copy, now + load_time > waiting.useful_until,
+    return std::tuple(waiting.is_copy, !CanBeInTime(waiting, now, plan),
+                      plan.weighs_loads && !IsWarm(plan, waiting.adapter),
                       -DemandOf(plan.demand, waiting.adapter, now),
                       waiting.since);
   };
@@ -125,12 +142,24 @@
   return std::nullopt;
 }
 
-// The adapter to evict: the one with the least demand, less than `max_demand`,
-// of those that are neither in use nor requested; the least recently used among
+SlotUse UseOf(const std::string& adapter, Time now, const AdapterPlan& plan) {
+  return {SteadyRequests(plan.demand, adapter, now),
+          plan.held_elsewhere.contains(adapter)};
+}
+
+// What orders the adapters that may be evicted: the demand, or the delay that
+// an eviction causes where loads are weighed.
+double WorthOf(const std::string& adapter, Time now, const AdapterPlan& plan) {
+  return plan.weighs_loads ? EvictionCost(UseOf(adapter, now, plan))
+                           : DemandOf(plan.demand, adapter, now);
+}
+
+// The adapter to evict: the one that is worth least, less than `max_worth`, of
+// those that are neither in use nor requested; the least recently used among
 // equals. Empty if there is none.
-std::string Victim(double max_demand, Time now, const AdapterPlan& plan) {
+std::string Victim(double max_worth, Time now, const AdapterPlan& plan) {
   std::string victim;
-  std::pair<double, Time> lowest{max_demand, Time::max()};
+  std::pair<double, Time> lowest{max_worth, Time::max()};
   for (const auto& [adapter, slot] : plan.adapters) {
     const bool is_evictable = slot.phase == SlotPhase::kHeld &&
                               slot.due <= now &&
@@ -140,7 +169,7 @@
                     [&name = adapter](const WaitingAdapter& waiting) {
                       return waiting.adapter == name;
                     });
-    const std::pair<double, Time> rank{DemandOf(plan.demand, adapter, now),
+    const std::pair<double, Time> rank{WorthOf(adapter, now, plan),
                                        slot.last_used};
     if (is_evictable && !is_wanted && rank < lowest) {
       victim = adapter;
@@ -150,6 +179,42 @@
   return victim;
 }
 
+// The adapter to evict for `waiting`; empty if none may be.
+std::string VictimFor(const WaitingAdapter& waiting,
+                      Time now,
+                      const AdapterPlan& plan) {
+  constexpr double kAny = std::numeric_limits<double>::infinity();
+  if (!plan.weighs_loads) {
+    return Victim(waiting.is_copy ? kMaxCopyVictimDemand : kAny, now, plan);
+  }
+  const std::string victim = Victim(kAny, now, plan);
+  if (victim.empty()) {
+    return victim;
+  }
+  const SlotUse use = UseOf(victim, now, plan);
+  const bool is_worth =
+      waiting.is_copy
+          ? CopyValue(waiting.offer, EvictionCost(use),
+                      IsWarm(plan, waiting.adapter)) > 0
+          : MayEvict(CanBeInTime(waiting, now, plan),
+                     SteadyRequests(plan.demand, waiting.adapter, now), use);
+  return is_worth ? victim : std::string();
+}
+
+// Forgets the adapters that the runner no longer has in its memory.
+void RecordPreviouslyHeld(const std::string& adapter,
+                          Time now,
+                          AdapterPlan* plan) {
+  plan->previously_held[adapter] = now;
+  const size_t most =
+      kMaxKeptInMemory + static_cast<size_t>(std::max(0, plan->adapter_slots));
+  if (plan->weighs_loads && plan->previously_held.size() > most) {
+    plan->previously_held.erase(std::min_element(
+        plan->previously_held.begin(), plan->previously_held.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+}
+
 std::optional<PlanStep> DueLoad(Time now, AdapterPlan* plan) {
   if (CountPhase(*plan, SlotPhase::kLoading) >= kMaxConcurrentLoads ||
       CountPhase(*plan, SlotPhase::kUnloading) > 0) {
@@ -182,10 +247,7 @@
         kMaxConcurrentLoads - CountPhase(*plan, SlotPhase::kLoading)) {
       return std::nullopt;
     }
-    const std::string victim =
-        Victim(waiting.is_copy ? kMaxCopyVictimDemand
-                               : std::numeric_limits<double>::infinity(),
-               now, *plan);
+    const std::string victim = VictimFor(waiting, now, *plan);
     if (!victim.empty()) {
       return PlanStep{StepKind::kClose, victim, 0};
     }
@@ -260,7 +322,7 @@
   slot.version = std::max(slot.version, step.version);
   slot.last_used = now;
   slot.due = now;
-  plan->previously_held[step.adapter] = now;
+  RecordPreviouslyHeld(step.adapter, now, plan);
 }
 
 void RecordUnloadResult(const PlanStep& step,
@@ -273,6 +335,9 @@
     case OrderResult::kDone:
       plan->order_count += is_repeated ? 0 : 1;
       plan->adapters.erase(step.adapter);
+      if (plan->weighs_loads) {
+        RecordPreviouslyHeld(step.adapter, now, plan);
+      }
       return;
     case OrderResult::kUnderWay:
       plan->order_count += is_repeated ? 0 : 1;
@@ -302,27 +367,41 @@
                   Time useful_until,
                   Time now,
                   AdapterPlan* plan) {
+  const Time until =
+      now + (plan->weighs_loads ? kWeighedWantedTimeout : kWantedTimeout);
   for (WaitingAdapter& waiting : plan->waiting) {
     if (waiting.adapter == adapter) {
       waiting.version = std::max(waiting.version, version);
-      waiting.until = now + kWantedTimeout;
+      waiting.until = until;
       waiting.useful_until = std::max(waiting.useful_until, useful_until);
       waiting.is_copy = false;
       return;
     }
   }
-  plan->waiting.push_back(
-      {adapter, version, now, now + kWantedTimeout, useful_until});
+  plan->waiting.push_back({adapter, version, now, until, useful_until});
 }
 
-void RecordCopyWanted(const std::string& adapter,
+bool RecordCopyWanted(const std::string& adapter,
                       int64_t version,
+                      const CopyOffer& offer,
                       Time now,
                       AdapterPlan* plan) {
+  WaitingAdapter copy{adapter, version, now,  now + kWantedTimeout,
+                      Time(),  true,    offer};
+  if (plan->weighs_loads) {
+    const bool has_room =
+        static_cast<int>(plan->adapters.size()) < plan->adapter_slots;
+    const bool is_worth = has_room
+                              ? CopyValue(offer, 0, IsWarm(*plan, adapter)) > 0
+                              : !VictimFor(copy, now, *plan).empty();
+    if (now < plan->copies_from || !is_worth) {
+      return false;
+    }
+  }
   if (!IsLoadPending(*plan, adapter)) {
-    plan->waiting.push_back(
-        {adapter, version, now, now + kWantedTimeout, Time(), true});
+    plan->waiting.push_back(std::move(copy));
   }
+  return true;
 }
 
 void RecordMissing(const std::string& adapter, Time now, AdapterPlan* plan) {
@@ -424,7 +503,7 @@
   };
   for (const auto& [adapter, version] : report.adapters) {
     add(adapter, version, SlotPhase::kHeld);
-    plan->previously_held[adapter] = now;
+    RecordPreviouslyHeld(adapter, now, plan);
   }
   for (const auto& [adapter, version] : report.loading) {
     add(adapter, version, SlotPhase::kLoading);
--- a/rosemaryhook/adapter_plan.h
+++ b/rosemaryhook/adapter_plan.h
@@ -27,6 +27,7 @@
 #include <string>
 
 #include "rosemaryhook/adapter_demand.h"
+#include "rosemaryhook/copy_value.h"
 #include "rosemaryhook/load_pacing.h"
 #include "rosemaryhook/runner_entry.h"
 #include "rosemaryhook/time.h"
@@ -59,6 +60,7 @@
   // When it must be loaded for a request to be answered within its objective.
   Time useful_until;
   bool is_copy = false;  // a further copy that no request waits for
+  CopyOffer offer{};     // of a copy, where loads are weighed
 };
 
 struct AdapterPlan {
@@ -79,8 +81,18 @@
   std::map<std::string, Time> previously_held;
   AdapterDemand demand;
   LoadPace pace;  // of loads from the weight store
+  // Whether loads are weighed by value, as there are more adapters than slots.
+  bool weighs_loads = false;
+  std::set<std::string> held_elsewhere;  // of `adapters`; if `weighs_loads`
+  // If `weighs_loads`: no copies are offered or loaded before, as the demand is
+  // not known yet.
+  Time copies_from;
 };
 
+// A new owner of a runner knows no demand for its adapters. It offers and loads
+// no copies for this long.
+constexpr Duration kDemandLearningTime = std::chrono::seconds(2);
+
 enum class StepKind { kReport, kLoadModel, kLoad, kCheckLoad, kClose, kUnload };
 
 std::string_view StepKindName(StepKind kind);
@@ -105,9 +117,11 @@
                   Time now,
                   AdapterPlan* plan);
 
-// Records that a further copy of `adapter` is to be loaded here.
-void RecordCopyWanted(const std::string& adapter,
+// Records that a further copy of `adapter` is to be loaded here. Returns false
+// if it is not worth its cost.
+bool RecordCopyWanted(const std::string& adapter,
                       int64_t version,
+                      const CopyOffer& offer,
                       Time now,
                       AdapterPlan* plan);
 
--- a/rosemaryhook/deployment.cc
+++ b/rosemaryhook/deployment.cc
@@ -95,4 +95,12 @@
   return std::min(engine.adapter_slots, by_memory);
 }
 
+bool HasScarceAdapterSlots(const EngineRule& engine, int runners) {
+  int64_t adapters = 0;
+  for (const EngineModel& model : engine.models) {
+    adapters += model.adapters;
+  }
+  return adapters > int64_t{MaxAdapterSlots(engine)} * runners;
+}
+
 }  // namespace rosemaryhook
--- a/rosemaryhook/deployment.h
+++ b/rosemaryhook/deployment.h
@@ -50,6 +50,8 @@
   std::string name;
   double weight_mb = 0;
   double adapter_mb = 0;
+  int adapters = 0;  // number of adapters known; 0 if the configuration does
+                     // not say
 };
 
 struct EngineRule {
@@ -111,6 +113,10 @@
 // The number of adapters that a runner of `engine` can hold beside its models.
 int MaxAdapterSlots(const EngineRule& engine);
 
+// Whether more adapters are known than `runners` runners of `engine` can hold
+// together. Copies and loads are then weighed by value (copy_value.h).
+bool HasScarceAdapterSlots(const EngineRule& engine, int runners);
+
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_DEPLOYMENT_H_
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -8,6 +8,7 @@
 #include "platform/header_codec.h"
 #include "platform/runner_codec.h"
 #include "rosemaryhook/direct_broadcast.h"
+#include "rosemaryhook/direct_loads.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/log.h"
@@ -244,6 +245,27 @@
   }
 }
 
+// Records which adapters of an owned runner other runners hold too. Requests
+// for these lose little by an eviction.
+void UpdateHeldElsewhere(const DirectDaemon& daemon,
+                         const std::string& runner,
+                         AdapterPlan* plan) {
+  if (!plan->weighs_loads) {
+    return;
+  }
+  plan->held_elsewhere.clear();
+  for (const auto& [id, view] : daemon.runners) {
+    if (id == runner || !view.is_owner_reachable) {
+      continue;
+    }
+    for (const auto& [adapter, version] : view.held) {
+      if (plan->adapters.contains(adapter)) {
+        plan->held_elsewhere.insert(adapter);
+      }
+    }
+  }
+}
+
 awaitable<void> GiveOrders(DirectDaemonPtr daemon,
                            std::string runner,
                            OwnedPtr owned) {
@@ -263,6 +285,9 @@
       owned->plan.model_due =
           std::max(owned->plan.model_due, daemon->model_load_due);
     }
+    if (!owned->plan.waiting.empty()) {
+      UpdateHeldElsewhere(*daemon, runner, &owned->plan);
+    }
     auto step = NextPlanStep(now, &owned->plan);
     if (!step) {
       PublishHeldAdapters(runner, owned.get(), daemon.get());
@@ -315,6 +340,90 @@
   return rarest;
 }
 
+WantedRunner WantedCopy(const RunnerView& view,
+                        const std::string& adapter,
+                        const DirectDaemon& daemon) {
+  WantedRunner wanted;
+  wanted.service = view.entry.service;
+  wanted.adapter = adapter;
+  wanted.zones_out = &daemon.zones_out;
+  const auto version = daemon.named_versions.find(adapter);
+  if (version != daemon.named_versions.end()) {
+    wanted.adapter_version = version->second;
+  }
+  return wanted;
+}
+
+// Whether the owner of a runner may order copies of `adapter` now; if so, not
+// again within kCopyInterval.
+bool TakeCopyTurn(const std::string& adapter, Time now, DirectDaemon* daemon) {
+  Time& due = daemon->copies_due[adapter];
+  if (now < due) {
+    return false;
+  }
+  due = now + kCopyInterval;
+  return true;
+}
+
+// Offers copies of an adapter to the owners of other runners, if its requests
+// have waited longer at `runner` for some time than they would there. These
+// owners decide whether a copy is worth its cost.
+void OfferCopies(const std::string& runner,
+                 const SentRequest& sent,
+                 Time now,
+                 AdapterPlan* plan,
+                 DirectDaemon* daemon) {
+  const RunnerView* view = FindRunnerView(*daemon, runner);
+  CopyOffer offer{RecentRequests(plan->demand, sent.adapter, now), 0};
+  if (view == nullptr || !MayOfferCopy(offer.requests_per_s)) {
+    return;
+  }
+  WantedRunner wanted = WantedCopy(*view, sent.adapter, *daemon);
+  wanted.zone = view->entry.zone;
+  offer.saved_ms = RecordExcess(
+      sent.adapter, ExcessDelayMs(daemon->runners, wanted, runner, now),
+      &plan->demand);
+  if (now < plan->copies_from || CopiesToOffer(1, offer) == 0 ||
+      !TakeCopyTurn(sent.adapter, now, daemon)) {
+    return;
+  }
+  for (const std::string& target :
+       ChooseOfferedCopies(daemon->runners, wanted, offer, now)) {
+    Log("copy_offer",
+        {{"adapter", sent.adapter},
+         {"from", runner},
+         {"runner", target},
+         {"requests_per_min", static_cast<int64_t>(60 * offer.requests_per_s)},
+         {"saved_ms", static_cast<int64_t>(offer.saved_ms)}});
+    daemon->metrics.Count("copy_offers_total");
+    LoadRequest load_request{target, sent.adapter, wanted.adapter_version,
+                             false, true};
+    load_request.offer = offer;
+    SendLoadRequest(load_request, daemon);
+  }
+}
+
+// Records the copy that another owner offers for an owned runner, or declines
+// it.
+void AcceptCopy(const LoadRequest& load_request,
+                Time now,
+                AdapterPlan* plan,
+                DirectDaemon* daemon) {
+  const bool is_accepted =
+      RecordCopyWanted(load_request.adapter, load_request.version,
+                       load_request.offer, now, plan);
+  if (plan->weighs_loads) {
+    Log(is_accepted ? "copy_accepted" : "copy_declined",
+        {{"adapter", load_request.adapter},
+         {"runner", load_request.runner},
+         {"requests_per_min",
+          static_cast<int64_t>(60 * load_request.offer.requests_per_s)},
+         {"saved_ms", static_cast<int64_t>(load_request.offer.saved_ms)}});
+    daemon->metrics.Count(is_accepted ? "copies_accepted_total"
+                                      : "copies_declined_total");
+  }
+}
+
 // Orders copies of an adapter on other runners until no copy has more demand
 // than it should serve. `tokens_per_s`: its demand at `runner`. All owners of
 // its copies choose the same runners.
@@ -327,19 +436,10 @@
   if (tokens_per_s <= kCopyOrderTokensPerSecond || view == nullptr) {
     return;
   }
-  Time& due = daemon->copies_due[adapter];
-  if (now < due) {
+  if (!TakeCopyTurn(adapter, now, daemon)) {
     return;
   }
-  due = now + kCopyInterval;
-  WantedRunner wanted;
-  wanted.service = view->entry.service;
-  wanted.adapter = adapter;
-  wanted.zones_out = &daemon->zones_out;
-  const auto version = daemon->named_versions.find(adapter);
-  if (version != daemon->named_versions.end()) {
-    wanted.adapter_version = version->second;
-  }
+  const WantedRunner wanted = WantedCopy(*view, adapter, *daemon);
   const std::vector<std::string> targets =
       ChooseCopies(daemon->runners, wanted, tokens_per_s, now);
   for (const std::string& target : targets) {
@@ -362,6 +462,7 @@
     }
     auto owned = std::make_shared<OwnedRunner>(daemon->io.get_executor());
     UpdateAdapterSlots(*daemon, runner, owned.get());
+    owned->plan.copies_from = Now() + kDemandLearningTime;
     // Until its first report, requests may use the adapters in its list entry.
     for (const auto& [adapter, version] : view->entry.adapters) {
       owned->plan.adapters[adapter] = {SlotPhase::kHeld, version, Now()};
@@ -391,6 +492,7 @@
   const auto service = daemon.deployment->services.find(view->entry.service);
   if (service != daemon.deployment->services.end()) {
     owned->plan.adapter_slots = MaxAdapterSlots(service->second.engine);
+    owned->plan.weighs_loads = HasScarceSlots(daemon, service->second);
     owned->plan.model_wanted = LeastHeldModel(daemon, service->second);
   }
 }
@@ -421,8 +523,8 @@
     RecordMissing(load_request.adapter, now, &owned->second->plan);
   }
   if (load_request.is_copy) {
-    RecordCopyWanted(load_request.adapter, load_request.version, now,
-                     &owned->second->plan);
+    UpdateHeldElsewhere(*daemon, load_request.runner, &owned->second->plan);
+    AcceptCopy(load_request, now, &owned->second->plan, daemon);
     owned->second->changed.Notify();
     return true;
   }
@@ -446,8 +548,12 @@
     AdapterPlan& plan = owned->second->plan;
     RecordUsed(sent.adapter, now, &plan);
     RecordDemand(sent.adapter, sent.prompt_tokens, now, &plan.demand);
-    OrderCopies(sent.runner, sent.adapter,
-                DemandOf(plan.demand, sent.adapter, now), now, daemon);
+    if (plan.weighs_loads) {
+      OfferCopies(sent.runner, sent, now, &plan, daemon);
+    } else {
+      OrderCopies(sent.runner, sent.adapter,
+                  DemandOf(plan.demand, sent.adapter, now), now, daemon);
+    }
   }
   return true;
 }
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -13,6 +13,7 @@
 #include "rosemaryhook/direct_call.h"
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_lists.h"
+#include "rosemaryhook/direct_loads.h"
 #include "rosemaryhook/direct_probes.h"
 #include "rosemaryhook/direct_stream_records.h"
 #include "rosemaryhook/direct_streams.h"
@@ -28,12 +29,6 @@
 constexpr Duration kPickInterval = std::chrono::milliseconds(100);
 constexpr Duration kRateLimitedPickInterval = std::chrono::milliseconds(15);
 
-// A load request is sent again after kLoadRetryInterval, since its datagram may
-// have been lost, and goes to another runner after kLoadTimeout.
-constexpr Duration kLoadRetryInterval = std::chrono::milliseconds(200);
-constexpr Duration kLoadTimeout = std::chrono::milliseconds(1500);
-constexpr size_t kMaxPendingLoads = 2000;
-
 // Callers of a stream disconnect after this many times the route's latency
 // objective without an event, but not before kMinFirstByteTimeout. Every caller
 // disconnects at its own deadline.
@@ -97,20 +92,13 @@
       refusal.code + "\n");
 }
 
-// Key of the load that such requests wait for. A begun stream waits for a
-// runner of its version, other requests for any.
-std::string PendingKey(const WantedRunner& wanted) {
-  return wanted.software_version
-             ? wanted.adapter + " for " + *wanted.software_version
-             : wanted.adapter;
-}
-
 WantedRunner MakeWantedRunner(const DirectCall& call) {
   const DirectDaemon& daemon = *call.daemon;
   WantedRunner wanted;
   wanted.service = call.service->name;
   wanted.zone = daemon.settings.zone;
   wanted.has_engine = call.service->has_engine;
+  wanted.has_scarce_slots = HasScarceSlots(daemon, *call.service);
   wanted.tried = call.tried;
   wanted.software_version = call.stream_software;
   if (!wanted.software_version && IsResumable(call)) {
@@ -139,36 +127,6 @@
   return wanted;
 }
 
-// Requests the load of an adapter once for all requests that wait for it.
-void RequestAdapterLoad(const std::string& key,
-                        const std::string& runner,
-                        const WantedRunner& wanted,
-                        Duration useful_for,
-                        DirectDaemon* daemon) {
-  const Time now = Now();
-  if (daemon->pending_loads.size() > kMaxPendingLoads) {
-    std::erase_if(daemon->pending_loads, [now](const auto& entry) {
-      return entry.second.deadline <= now;
-    });
-  }
-  PendingLoad& pending = daemon->pending_loads[key];
-  const auto view = daemon->runners.find(pending.runner);
-  const bool is_still_valid = now < pending.deadline &&
-                              view != daemon->runners.end() &&
-                              IsUsable(view->second, wanted, now);
-  if (!is_still_valid) {
-    pending = {runner, Time(), now + kLoadTimeout};
-  }
-  if (now - pending.requested < kLoadRetryInterval) {
-    return;
-  }
-  pending.requested = now;
-  LoadRequest load_request{pending.runner, wanted.adapter,
-                           wanted.adapter_version};
-  load_request.useful_for = useful_for;
-  SendLoadRequest(load_request, daemon);
-}
-
 // How long the caller is expected to wait for the first byte.
 Duration FirstByteTimeout(const DirectCall& call) {
   const Duration limit = call.deadline - call.arrived;
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -32,15 +32,21 @@
 Json LoadRequestsToJson(const std::vector<LoadRequest>& load_requests) {
   Json json = Json::array();
   for (const LoadRequest& load_request : load_requests) {
-    json.push_back(
+    Json item =
         Json::array({load_request.runner, load_request.adapter,
                      load_request.version, load_request.is_missing,
-                     load_request.is_copy, Millis(load_request.useful_for)}));
+                     load_request.is_copy, Millis(load_request.useful_for)});
+    if (load_request.offer.requests_per_s > 0) {
+      item.push_back(load_request.offer.requests_per_s);
+      item.push_back(load_request.offer.saved_ms);
+    }
+    json.push_back(std::move(item));
   }
   return json;
 }
 
-// Hosts of earlier versions send only the first four values.
+// Hosts of earlier versions send only the first four or six values, and ignore
+// those that follow.
 LoadRequest LoadRequestFromJson(const Json& json) {
   LoadRequest load_request{json.at(0).get<std::string>(),
                            json.at(1).get<std::string>(),
@@ -50,6 +56,9 @@
     load_request.useful_for =
         std::chrono::milliseconds(json.at(5).get<int64_t>());
   }
+  if (json.size() > 7) {
+    load_request.offer = {json.at(6).get<double>(), json.at(7).get<double>()};
+  }
   return load_request;
 }
 
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "platform/store_codec.h"
+#include "rosemaryhook/copy_value.h"
 #include "rosemaryhook/error.h"
 #include "rosemaryhook/fleet_state.h"
 #include "rosemaryhook/runner_choice.h"
@@ -29,6 +30,8 @@
   // Time within which it must be loaded for the request that waits to be
   // answered within its objective.
   Duration useful_for{};
+  // Of a copy: what the owner of a runner that holds the adapter measured.
+  CopyOffer offer{};
 };
 
 // Changes of one of the store's tables, from a host that polls it.
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -61,6 +61,11 @@
 // billed.
 constexpr double kHomeSlackMs = 150;
 
+// The same where there are more adapters than slots. An adapter is loaded again
+// and again then, and its first home mostly still has it in memory: another one
+// must save the time of the fetch too.
+constexpr double kScarceHomeSlackMs = 400;
+
 // Number of homes of an adapter, and by how much the delay at all of them must
 // exceed that of another runner before the adapter goes there: half of the
 // shortest latency objective.
@@ -72,6 +77,9 @@
 // kExtraHomeMs for any other.
 constexpr double kPopularCopyMs = 200;
 
+// Runners with which a holder's delay is compared before copies are offered.
+constexpr int kComparedHomes = 4;
+
 // Lifetimes of one server for which it is remembered that they leave. An older
 // list may show one of the newest again.
 constexpr size_t kMaxLeavingStarts = 8;
@@ -199,11 +207,11 @@
 // before still has a copy in memory. Another runner only if all of these are
 // busy.
 const Candidate* ChooseHome(const std::vector<Candidate>& candidates,
-                            const std::string& failed_home) {
+                            const WantedRunner& wanted) {
   std::vector<const Candidate*> loadable;
   for (const Candidate& candidate : candidates) {
     if (candidate.view->is_owner_reachable && !candidate.is_resident &&
-        candidate.view->entry.id != failed_home) {
+        candidate.view->entry.id != wanted.failed_home) {
       loadable.push_back(&candidate);
     }
   }
@@ -227,13 +235,50 @@
                       return a->weight > b->weight;
                     });
   homes.resize(count);
-  const Candidate* home = PreferredWithin(homes, kHomeSlackMs);
+  const Candidate* home = PreferredWithin(
+      homes, wanted.has_scarce_slots ? kScarceHomeSlackMs : kHomeSlackMs);
   const Candidate* least = LowestScore(loadable);
   const bool is_busy =
       home != nullptr && home->score > least->score + kExtraHomeMs;
   return is_busy ? PreferredWithin(loadable, kHomeSlackMs) : home;
 }
 
+// The runners that hold an adapter, and those that could load a copy.
+struct CopyHomes {
+  int holders = 0;
+  std::vector<std::pair<uint64_t, std::string>> homes;  // by rendezvous weight
+};
+
+CopyHomes FindCopyHomes(const RunnerViews& runners,
+                        const WantedRunner& wanted,
+                        Time now) {
+  CopyHomes found;
+  for (const auto& [id, view] : runners) {
+    if (!IsUsable(view, wanted, now)) {
+      continue;
+    }
+    if (view.held.contains(wanted.adapter)) {
+      ++found.holders;
+    } else if (view.is_owner_reachable && !IsPaced(view, now)) {
+      found.homes.emplace_back(RendezvousWeight(wanted.adapter, id), id);
+    }
+  }
+  return found;
+}
+
+// The first `wanted` of `found` in the rendezvous order, at most `most`.
+std::vector<std::string> FirstHomes(CopyHomes found, int wanted, size_t most) {
+  const size_t count = std::min(
+      {found.homes.size(), most, static_cast<size_t>(std::max(wanted, 0))});
+  std::partial_sort(found.homes.begin(), found.homes.begin() + count,
+                    found.homes.end(), std::greater<>());
+  std::vector<std::string> targets;
+  for (size_t i = 0; i < count; ++i) {
+    targets.push_back(found.homes[i].second);
+  }
+  return targets;
+}
+
 }  // namespace
 
 RunnerLoad TotalLoad(const RunnerView& view) {
@@ -357,9 +402,11 @@
         choice.holders.push_back(candidate->view);
       }
     }
-    const Candidate* home = wanted.adapter.empty()
+    // One of many hosts sees too little of the demand for an adapter to judge
+    // what a copy is worth.
+    const Candidate* home = wanted.adapter.empty() || wanted.has_scarce_slots
                                 ? nullptr
-                                : ChooseHome(candidates, wanted.failed_home);
+                                : ChooseHome(candidates, wanted);
     const double more = home == nullptr ? 0 : holder->score - home->score;
     const bool is_popular = holder->view->own_adapters.contains(wanted.adapter);
     if (more > (is_popular ? kPopularCopyMs : kExtraHomeMs)) {
@@ -367,7 +414,7 @@
     }
     return choice;
   }
-  if (const Candidate* home = ChooseHome(candidates, wanted.failed_home)) {
+  if (const Candidate* home = ChooseHome(candidates, wanted)) {
     choice.runner = home->view;
     choice.why = "home";
   }
@@ -432,28 +479,38 @@
                                       const WantedRunner& wanted,
                                       double tokens_per_s,
                                       Time now) {
-  int holders = 0;
-  std::vector<std::pair<uint64_t, std::string>> homes;
-  for (const auto& [id, view] : runners) {
-    if (!IsUsable(view, wanted, now)) {
-      continue;
-    }
-    if (view.held.contains(wanted.adapter)) {
-      ++holders;
-    } else if (view.is_owner_reachable && !IsPaced(view, now)) {
-      homes.emplace_back(RendezvousWeight(wanted.adapter, id), id);
-    }
+  const CopyHomes homes = FindCopyHomes(runners, wanted, now);
+  const int missing = CopiesWanted(homes.holders, tokens_per_s) - homes.holders;
+  return FirstHomes(homes, missing, kMaxCopies);
+}
+
+double ExcessDelayMs(const RunnerViews& runners,
+                     const WantedRunner& wanted,
+                     const std::string& runner,
+                     Time now) {
+  const auto holder = runners.find(runner);
+  if (holder == runners.end()) {
+    return 0;
   }
-  const int missing = CopiesWanted(holders, tokens_per_s) - holders;
-  const size_t count = std::min(
-      {homes.size(), kMaxCopies, static_cast<size_t>(std::max(missing, 0))});
-  std::partial_sort(homes.begin(), homes.begin() + count, homes.end(),
-                    std::greater<>());
-  std::vector<std::string> targets;
-  for (size_t i = 0; i < count; ++i) {
-    targets.push_back(homes[i].second);
+  double least = 0;
+  bool has_home = false;
+  for (const std::string& id : FirstHomes(FindCopyHomes(runners, wanted, now),
+                                          kComparedHomes, kComparedHomes)) {
+    const double score = Score(runners.at(id), wanted, now);
+    least = has_home ? std::min(least, score) : score;
+    has_home = true;
   }
-  return targets;
+  return has_home ? std::max(0.0, Score(holder->second, wanted, now) - least)
+                  : 0;
+}
+
+std::vector<std::string> ChooseOfferedCopies(const RunnerViews& runners,
+                                             const WantedRunner& wanted,
+                                             const CopyOffer& offer,
+                                             Time now) {
+  const CopyHomes homes = FindCopyHomes(runners, wanted, now);
+  return FirstHomes(homes, CopiesToOffer(homes.holders, offer),
+                    kMaxOfferedCopies);
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "rosemaryhook/brittle_server.h"
+#include "rosemaryhook/copy_value.h"
 #include "rosemaryhook/named_limit.h"
 #include "rosemaryhook/runner_entry.h"
 #include "rosemaryhook/runner_health.h"
@@ -124,7 +125,10 @@
   std::string shared_prompt;  // key of the prompt prefix shared with others
   double shared_tokens = 0;   // length of that prefix
   bool has_engine = false;
-  std::string failed_home;      // did not load the adapter when requested
+  std::string failed_home;  // did not load the adapter when requested
+  // There are more adapters than slots: the owners of the runners that hold an
+  // adapter offer its copies (ChooseOfferedCopies), the hosts ask for none.
+  bool has_scarce_slots = false;
   std::set<std::string> tried;  // ids of runners not to be used again
   // Of a stream that has begun: no other version may go on with it.
   std::optional<std::string> software_version;
@@ -206,6 +210,23 @@
                                       double tokens_per_s,
                                       Time now);
 
+// By how much a request waits longer at `runner`, which holds the adapter, than
+// at the least busy of the next runners in its rendezvous order that do not; 0
+// if it does not wait longer.
+double ExcessDelayMs(const RunnerViews& runners,
+                     const WantedRunner& wanted,
+                     const std::string& runner,
+                     Time now);
+
+// The same as ChooseCopies where there are more adapters than slots, for what
+// the owner of one of its holders offers. Load pattern: an adapter becomes as
+// popular as a tenth of all demand within seconds.
+constexpr size_t kMaxOfferedCopies = 16;
+std::vector<std::string> ChooseOfferedCopies(const RunnerViews& runners,
+                                             const WantedRunner& wanted,
+                                             const CopyOffer& offer,
+                                             Time now);
+
 }  // namespace rosemaryhook
 
 #endif  // ROSEMARYHOOK_RUNNER_CHOICE_H_
--- a/rosemaryhook/testing/adapter_plan_test.cc
+++ b/rosemaryhook/testing/adapter_plan_test.cc
@@ -344,7 +344,7 @@
   for (int i = 0; i < 20; ++i) {
     RecordDemand("m/a", 1000, At(i), &plan.demand);
   }
-  RecordCopyWanted("m/copy", 0, At(20), &plan);
+  RecordCopyWanted("m/copy", 0, {}, At(20), &plan);
   BOOST_TEST(!NextPlanStep(At(20.9), &plan).has_value());
   // A request for the same adapter may replace any idle one.
   RecordWanted("m/copy", 0, At(22), At(21), &plan);
@@ -353,7 +353,7 @@
   BOOST_TEST(step->adapter == "m/a");
 
   AdapterPlan both = KnownPlan(4);
-  RecordCopyWanted("m/copy", 0, At(1), &both);
+  RecordCopyWanted("m/copy", 0, {}, At(1), &both);
   RecordWanted("m/b", 0, At(2), At(1.1), &both);
   BOOST_TEST(NextPlanStep(At(1.1), &both)->adapter == "m/b");
 }
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -1,7 +1,7 @@
 # Unit tests, which run in virtual time; one ctest entry per suite.
 set(UNIT_SUITES
-  adapter_demand adapter_plan answer_head answer_match api backend_state
-  bounded_cbor brittle_server claims contact deployment direct_state endless_requests
+  adapter_demand adapter_load_replay adapter_plan answer_head answer_match api backend_state
+  bounded_cbor brittle_server claims contact copy_value deployment direct_state endless_requests
   event_splitter fleet_state http_io idempotency joined_heads endless_bytes
   load_pacing list_trust membership peer_backlog peer_bounds peer_reads
   placement platform_codec port_block rates prompt_suspects repeat_limits repeated_ids request_memory
