--- a/rosemaryhook/direct_broadcast.cc
+++ b/rosemaryhook/direct_broadcast.cc
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "rosemaryhook/direct_datagrams.h"
-#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_duties.h"
+#include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
 #include "rosemaryhook/direct_places.h"
