Weigh a runner's cached prompts and learned speed against its queue

A runner that still holds the beginning of a prompt answers sooner, but a host sees only its own sends and took a prompt as kept for 10 s. And constants of one engine were used for runners whose speeds differ by a factor of two.

The owner of a runner now simulates its KV cache from the sends that it is told of anyway; these and the probes carry the hashes of the prompt's parts, and the answers the tokens that are probably cached. For long shared prefixes all hosts ask about the same few runners. At the first token a host reports the time to the owner, which fits the reading speed, the time of a first token and the delay for each running request, and returns them with its answers. Only where the configuration of the engine has kv_capacity_tokens. The load of a request and the log line of its route move from direct_call.cc and direct_requests.cc to direct_request_load.cc; both files shrink.

Unit suites kept_prompts, runner_model, prompt_owner, runner_choice, direct_state, platform_codec and peer_bounds pass.

--- a/rosemaryhook/deployment.h
+++ b/rosemaryhook/deployment.h
@@ -57,6 +57,9 @@
   double memory_mb = 0;    // for weights and adapters together
   int adapter_slots = 0;   // maximum number of adapters on a runner
   double loads_per_s = 0;  // base models read from the weight store, all hosts
+  // Tokens of running requests and cached prompt parts that a runner's KV cache
+  // holds; 0 if it is not known.
+  int64_t kv_capacity_tokens = 0;
 };
 
 struct ServiceRule {
--- a/rosemaryhook/direct_admission.cc
+++ b/rosemaryhook/direct_admission.cc
@@ -58,16 +58,28 @@
   if (parts.size() < 2) {
     return;
   }
-  call->shared_prompt = call->headers.model + "/" + call->headers.adapter;
+  call->prefix.key = call->headers.model + "/" + call->headers.adapter;
   for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    call->shared_prompt += " " + parts[i].id;
-    call->shared_tokens += parts[i].tokens;
+    call->prefix.key += " " + parts[i].id;
+    call->prefix.tokens += parts[i].tokens;
     if (i < kMaxPartKeys) {
       call->part_keys.push_back(PartKey(call->service->name, parts[i].id));
     }
   }
 }
 
+// Sets the chain of the prompt's parts. The last belongs to the caller or its
+// session, which may come back.
+void FindChain(DirectCall* call) {
+  if (call->service->engine.kv_capacity_tokens <= 0) {
+    return;
+  }
+  const std::string scope = call->headers.model + "/" + call->headers.adapter;
+  for (const platform::PromptPart& part : call->headers.prompt) {
+    ExtendChain(scope, part.id, part.tokens, &call->prefix.chain);
+  }
+}
+
 }  // namespace
 
 DirectRefusal MakeDirectRefusal(int status,
@@ -116,6 +128,7 @@
   call->request_key = RequestKey(call->customer, call->request.method,
                                  call->request.target, call->request.body);
   FindSharedPrompt(call);
+  FindChain(call);
   if (CheckBlockedParts(call)) {
     return MakeDirectRefusal(503, call->no_runner_reason,
                              call->no_runner_retry_after);
--- a/rosemaryhook/direct_call.cc
+++ b/rosemaryhook/direct_call.cc
@@ -18,7 +18,7 @@
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_orders.h"
 #include "rosemaryhook/direct_paths.h"
-#include "rosemaryhook/direct_probes.h"
+#include "rosemaryhook/direct_request_load.h"
 #include "rosemaryhook/direct_statements.h"
 #include "rosemaryhook/direct_streams.h"
 #include "rosemaryhook/direct_suspects.h"
@@ -58,59 +58,6 @@
     {AttemptEnd::kTruncated, "cut"},
 }};
 
-// Counts a request as load of a backend server during its lifetime.
-class ScopedRequestLoad {
- public:
-  ScopedRequestLoad(RunnerView* view,
-                    const std::string& adapter,
-                    double prompt_tokens)
-      : view_(view),
-        adapter_(adapter),
-        prompt_tokens_(prompt_tokens),
-        sent_(Now()),
-        expected_ms_(EstimateFirstTokenMs(*view, prompt_tokens)) {
-    if (!adapter_.empty()) {
-      ++view_->own_adapters[adapter_];
-    }
-    ++view_->own.running;
-    view_->own.prompt_tokens += prompt_tokens_;
-  }
-  ~ScopedRequestLoad() {
-    if (!adapter_.empty() && --view_->own_adapters[adapter_] <= 0) {
-      view_->own_adapters.erase(adapter_);
-    }
-    --view_->own.running;
-    RemovePromptLoad();
-  }
-  ScopedRequestLoad(const ScopedRequestLoad&) = delete;
-  ScopedRequestLoad& operator=(const ScopedRequestLoad&) = delete;
-
-  // Records how long the first token took against the estimate. Only this
-  // request's part of the estimate is exact, since other requests start and end
-  // in the meantime.
-  void RecordPace(Time first_token) const {
-    const std::chrono::duration<double, std::milli> elapsed =
-        first_token - sent_;
-    rosemaryhook::RecordFirstToken(expected_ms_, elapsed.count(),
-                                   &view_->first_token_latency);
-  }
-
-  void RemovePromptLoad() {
-    view_->own.prompt_tokens -= prompt_tokens_;
-    prompt_tokens_ = 0;
-    if (view_->own.running == 0) {
-      view_->own.prompt_tokens = 0;
-    }
-  }
-
- private:
-  RunnerView* view_;
-  std::string adapter_;
-  double prompt_tokens_;
-  Time sent_;
-  double expected_ms_;
-};
-
 // Counts a request as one of the return to a backend server after a pause, from
 // its send to its answer.
 class ScopedReturnSend {
@@ -323,15 +270,6 @@
   }
 }
 
-// Records the time of the first token, and from it the runner's speed.
-void RecordFirst(DirectCall* call, const ScopedRequestLoad& load) {
-  if (call->first_token != Time()) {
-    return;
-  }
-  call->first_token = Now();
-  load.RecordPace(call->first_token);
-}
-
 bool IsStream(const HttpHead& head) {
   return HeaderOf(head.headers, "Content-Type")
       .starts_with("text/event-stream");
@@ -364,8 +302,7 @@
       if (data.empty()) {
         break;
       }
-      load.RemovePromptLoad();
-      RecordFirst(&call, load);
+      load.RecordFirstToken();
     }
     if (has_events) {
       TrackEvents(data, &boundary);
@@ -588,20 +525,8 @@
   if (call.first_sent == Time()) {
     call.first_sent = now;
   }
-  const bool is_prompt_cached =
-      !call.shared_prompt.empty() &&
-      HasRecentPrompt(view->recent_prompts, call.shared_prompt, now);
   RecordBrittleSend(view->own.running, now, &view->brittle);
-  ScopedRequestLoad load(
-      view, call.headers.adapter,
-      call.headers.prompt_tokens - (is_prompt_cached ? call.shared_tokens : 0));
-  if (!call.shared_prompt.empty()) {
-    RecordPrompt(call.shared_prompt, now, &view->recent_prompts);
-  }
-  if (call.service->has_engine) {
-    ReportSend(runner, call.headers.adapter, call.headers.prompt_tokens,
-               &daemon);
-  }
+  ScopedRequestLoad load(&call, view, now);
   HttpExchange exchange(&daemon.pool);
   AttemptScope scope(&call, &exchange);
   ScopedReturnSend return_send(view);
--- a/rosemaryhook/direct_call.h
+++ b/rosemaryhook/direct_call.h
@@ -27,8 +27,7 @@
   std::string customer;  // empty on open routes
   double cost = 0;       // tokens taken from its limit
   int urgency = 5;
-  std::string shared_prompt;  // key of the prompt parts that others share
-  double shared_tokens = 0;   // number of tokens in those parts
+  PromptPrefix prefix;
   // Keys of the prompt parts that other requests may share.
   std::vector<std::string> part_keys;
   std::string request_key;           // equal for equal requests
--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -70,6 +70,8 @@
   explicit OwnedRunner(const asio::any_io_executor& executor)
       : changed(executor) {}
   AdapterPlan plan;
+  KeptPrompts kept_prompts;
+  ObservedRunner observed;
   // Adapter -> addresses of the hosts that requested its load.
   std::map<std::string, std::set<std::string>> requesters;
   Signal changed;
@@ -88,6 +90,7 @@
   explicit PendingProbe(const asio::any_io_executor& executor)
       : answered(executor) {}
   std::set<std::string> owners;  // addresses whose answers are missing
+  std::map<std::string, double> cached_tokens;  // answered, by runner
   Signal answered;
 };
 
--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -106,6 +106,19 @@
          std::get<RunnerEntry>(entry).start_ms < known->second.entry.start_ms;
 }
 
+// The learned values of the runner that was at the address of `entry` before: a
+// restarted runner has a new id, but mostly the same machine.
+RunnerModel EarlierModel(const RunnerEntry& entry, const DirectDaemon& daemon) {
+  for (const auto& [id, view] : daemon.runners) {
+    if (view.entry.address == entry.address &&
+        view.entry.service == entry.service &&
+        view.model.source == ModelSource::kRunner) {
+      return view.model;
+    }
+  }
+  return RunnerModel();
+}
+
 void ReplaceRunner(RunnerEntry entry, Time now, DirectDaemon* daemon) {
   RunnerView& view = daemon->runners[entry.id];
   const bool is_new_start = view.entry.id.empty() ||
@@ -125,6 +138,7 @@
     new_view.own_adapters = std::move(view.own_adapters);
     // An older list may show again a lifetime that has said that it leaves.
     new_view.leaving_starts_ms = std::move(view.leaving_starts_ms);
+    new_view.model = EarlierModel(entry, *daemon);
     view = std::move(new_view);
     ResetOwnedRunner(entry.id, daemon);
   } else if (entry.is_leaving && !view.entry.is_leaving) {
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -103,6 +103,12 @@
   if (held == view.held && view.is_owner_reachable == is_owner_reachable) {
     return;
   }
+  for (const auto& [adapter, version] : view.held) {
+    const auto now_held = held.find(adapter);
+    if (now_held == held.end() || now_held->second != version) {
+      DropKept(adapter, &owned->kept_prompts);
+    }
+  }
   view.held = std::move(held);
   view.is_owner_reachable = is_owner_reachable;
   daemon->owned_changed.insert(runner);
@@ -362,6 +368,8 @@
     }
     auto owned = std::make_shared<OwnedRunner>(daemon->io.get_executor());
     UpdateAdapterSlots(*daemon, runner, owned.get());
+    owned->kept_prompts.began = Now();
+    owned->observed.earlier = view->model;
     // Until its first report, requests may use the adapters in its list entry.
     for (const auto& [adapter, version] : view->entry.adapters) {
       owned->plan.adapters[adapter] = {SlotPhase::kHeld, version, Now()};
@@ -391,6 +399,8 @@
   const auto service = daemon.deployment->services.find(view->entry.service);
   if (service != daemon.deployment->services.end()) {
     owned->plan.adapter_slots = MaxAdapterSlots(service->second.engine);
+    owned->kept_prompts.capacity_tokens =
+        service->second.engine.kv_capacity_tokens;
     owned->plan.model_wanted = LeastHeldModel(daemon, service->second);
   }
 }
@@ -442,6 +452,9 @@
   if (owned == daemon->owned.end()) {
     return false;
   }
+  RecordKept({sent.chain, sent.adapter, sent.prompt_tokens,
+              TotalLoad(daemon->runners[sent.runner]).running, sent.sent_at},
+             now, &owned->second->kept_prompts);
   if (!sent.adapter.empty()) {
     AdapterPlan& plan = owned->second->plan;
     RecordUsed(sent.adapter, now, &plan);
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -232,9 +232,11 @@
   for (const ListUpdate& update : message.updates) {
     ApplyListUpdate(update, now, daemon);
   }
-  for (const SentRequest& sent : message.sent) {
+  for (SentRequest sent : message.sent) {
+    sent.sent_at = daemon->hosts[message.session].last_sent;
     RecordAdapterSent(sent, now, daemon);
   }
+  RecordObservations(message, now, daemon);
   HandleRecordRequests(message, now, daemon);
   RecordWritten(message.records_written, daemon);
   MergePeerLimits(message, now, daemon);
--- a/rosemaryhook/direct_requests.cc
+++ b/rosemaryhook/direct_requests.cc
@@ -14,6 +14,7 @@
 #include "rosemaryhook/direct_limits.h"
 #include "rosemaryhook/direct_lists.h"
 #include "rosemaryhook/direct_probes.h"
+#include "rosemaryhook/direct_request_load.h"
 #include "rosemaryhook/direct_stream_records.h"
 #include "rosemaryhook/direct_streams.h"
 #include "rosemaryhook/direct_suspects.h"
@@ -129,8 +130,7 @@
                             ? call.headers.request_id
                             : call.headers.prompt.front().id;
   wanted.prompt_tokens = call.headers.prompt_tokens;
-  wanted.shared_prompt = call.shared_prompt;
-  wanted.shared_tokens = call.shared_tokens;
+  wanted.prefix = call.prefix;
   const auto pending = daemon.pending_loads.find(PendingKey(wanted));
   if (pending != daemon.pending_loads.end() &&
       Now() >= pending->second.deadline) {
@@ -180,21 +180,6 @@
                       call.route->objective * kFirstByteTimeoutObjectives));
 }
 
-void LogRoute(const DirectCall& call,
-              const std::string& runner,
-              const RunnerChoice& choice) {
-  const DirectDaemon& daemon = *call.daemon;
-  Log("route", {{"id", call.headers.request_id},
-                {"runner", runner},
-                {"why", choice.why},
-                {"holders", choice.holders.size()},
-                {"usable", choice.usable},
-                {"expected_ms",
-                 static_cast<int64_t>(EstimateFirstTokenMs(
-                     daemon.runners.at(runner), call.headers.prompt_tokens))},
-                {"list_age_ms", Millis(Now() - daemon.runner_contact.fresh)}});
-}
-
 // Logs why a request waits; called when the wait begins.
 void LogWait(const DirectCall& call, const RunnerChoice& choice) {
   const char* reason = choice.limits_used_up > 0  ? "named_limit"
@@ -270,14 +255,12 @@
 awaitable<std::string> PickHolder(DirectCall& call,
                                   const WantedRunner& wanted,
                                   const RunnerChoice& choice) {
-  DirectDaemon& daemon = *call.daemon;
   if (!wanted.has_engine || choice.holders.size() < 2) {
     co_return choice.runner->entry.id;
   }
-  const std::vector<std::string> targets =
-      ProbeTargets(choice.holders, wanted, call.headers.request_id);
-  co_await ProbeLoads(daemon, targets);
-  co_return LeastDelayed(daemon.runners, targets, wanted, Now());
+  co_return co_await PickProbed(
+      call, wanted,
+      ProbeTargets(choice.holders, wanted, call.headers.request_id));
 }
 
 // Time within which the adapter must be loaded on `runner` for the call to be
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -2,11 +2,17 @@
 // many small messages.
 #include "rosemaryhook/peer_message.h"
 
+#include <algorithm>
+#include <cmath>
+
 #include "rosemaryhook/bounded_cbor.h"
 
 namespace rosemaryhook {
 namespace {
 
+// Far above the prompt of any request; sums of parts cannot overflow.
+constexpr uint64_t kMaxPartTokens = 1'000'000'000;
+
 Json LoadsToJson(const std::map<std::string, RunnerLoad>& loads) {
   Json json = Json::object();
   for (const auto& [runner, load] : loads) {
@@ -53,15 +59,113 @@
   return load_request;
 }
 
+// Hash and tokens of each part, in one array.
+Json ChainToJson(const PromptChain& chain) {
+  Json json = Json::array();
+  for (const PromptLink& link : chain) {
+    json.push_back(link.hash);
+    json.push_back(static_cast<uint64_t>(link.tokens));
+  }
+  return json;
+}
+
+uint64_t Unsigned(const Json& json) {
+  return json.get_ref<const Json::number_unsigned_t&>();
+}
+
+PromptChain ChainFromJson(const Json& json) {
+  PromptChain chain;
+  for (size_t i = 0; i < json.size() && chain.size() < kMaxChainLinks; i += 2) {
+    const uint64_t tokens = Unsigned(json.at(i + 1));
+    chain.push_back({Unsigned(json.at(i)),
+                     static_cast<int64_t>(std::min(tokens, kMaxPartTokens))});
+  }
+  return chain;
+}
+
 Json SentToJson(const std::vector<SentRequest>& sent) {
   Json json = Json::array();
   for (const SentRequest& item : sent) {
-    json.push_back(Json::array(
-        {item.runner, item.adapter, static_cast<int64_t>(item.prompt_tokens)}));
+    Json values = Json::array(
+        {item.runner, item.adapter, static_cast<int64_t>(item.prompt_tokens)});
+    if (!item.chain.empty()) {
+      values.push_back(ChainToJson(item.chain));
+    }
+    json.push_back(std::move(values));
+  }
+  return json;
+}
+
+// Hosts of earlier versions send no chain, and ignore it.
+SentRequest SentFromJson(const Json& json) {
+  SentRequest sent{json.at(0).get<std::string>(), json.at(1).get<std::string>(),
+                   json.at(2).get<double>()};
+  if (json.size() > 3) {
+    sent.chain = ChainFromJson(json.at(3));
+  }
+  return sent;
+}
+
+Json CachedToJson(const std::map<std::string, double>& cached) {
+  Json json = Json::object();
+  for (const auto& [runner, tokens] : cached) {
+    json[runner] = static_cast<int64_t>(tokens);
   }
   return json;
 }
 
+// In tenths, so that the values are short integers.
+Json ModelsToJson(const std::map<std::string, RunnerModel>& models) {
+  Json json = Json::object();
+  for (const auto& [runner, model] : models) {
+    json[runner] = Json::array({std::lround(model.tokens_per_ms * 10),
+                                std::lround(model.first_token_ms * 10),
+                                std::lround(model.ms_per_running * 10)});
+  }
+  return json;
+}
+
+// Positive, as it is divided by.
+double Tenths(const Json& json) {
+  return std::max(1.0, json.get<double>()) / 10;
+}
+
+std::map<std::string, RunnerModel> ModelsFromJson(const Json& json) {
+  std::map<std::string, RunnerModel> models;
+  for (const auto& [runner, item] : json.items()) {
+    models[runner] = {Tenths(item.at(0)), Tenths(item.at(1)),
+                      Tenths(item.at(2)), ModelSource::kRunner};
+  }
+  return models;
+}
+
+Json ObservationsToJson(
+    const std::map<std::string, std::vector<FirstTokenObservation>>&
+        observations) {
+  Json json = Json::object();
+  for (const auto& [runner, items] : observations) {
+    for (const FirstTokenObservation& item : items) {
+      json[runner].push_back(
+          Json::array({static_cast<int64_t>(item.prompt_tokens), item.running,
+                       static_cast<int64_t>(item.observed_ms)}));
+    }
+  }
+  return json;
+}
+
+std::map<std::string, std::vector<FirstTokenObservation>> ObservationsFromJson(
+    const Json& json) {
+  std::map<std::string, std::vector<FirstTokenObservation>> observations;
+  for (const auto& [runner, items] : json.items()) {
+    for (const Json& item : items) {
+      observations[runner].push_back({Time(), item.at(0).get<double>(),
+                                      item.at(1).get<int>(),
+                                      item.at(2).get<double>()});
+    }
+  }
+  return observations;
+}
+
 Json UpdatesToJson(const std::vector<ListUpdate>& updates) {
   Json json = Json::array();
   for (const ListUpdate& item : updates) {
@@ -186,13 +290,15 @@
   message.records_written = Field<std::vector<std::string>>(json, "W");
   if (const auto probe = json.find("p"); probe != json.end()) {
     message.probe = {probe->at(0).get<int64_t>(),
-                     probe->at(1).get<std::vector<std::string>>()};
+                     probe->at(1).get<std::vector<std::string>>(),
+                     ChainFromJson(json.value("kp", Json::array()))};
   }
+  message.cached_tokens = Field<std::map<std::string, double>>(json, "kt");
+  message.models = ModelsFromJson(json.value("rm", Json::object()));
+  message.observations = ObservationsFromJson(json.value("ro", Json::object()));
   message.answered_probe = json.value("c", int64_t{0});
   for (const Json& item : json.value("f", Json::array())) {
-    message.sent.push_back({item.at(0).get<std::string>(),
-                            item.at(1).get<std::string>(),
-                            item.at(2).get<double>()});
+    message.sent.push_back(SentFromJson(item));
   }
   return message;
 }
@@ -247,7 +353,11 @@
   add("W", message.records_written);
   if (message.probe.id != 0) {
     json["p"] = Json::array({message.probe.id, message.probe.runners});
+    add("kp", ChainToJson(message.probe.chain));
   }
+  add("kt", CachedToJson(message.cached_tokens));
+  add("rm", ModelsToJson(message.models));
+  add("ro", ObservationsToJson(message.observations));
   if (message.answered_probe != 0) {
     json["c"] = message.answered_probe;
   }
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -48,6 +48,7 @@
 struct LoadProbe {
   int64_t id = 0;  // of the sender; 0 if there is none
   std::vector<std::string> runners;
+  PromptChain chain;  // of the prompt of the request that is to be sent
 };
 
 // Requests that a host has just sent to a runner for one adapter.
@@ -55,6 +56,8 @@
   std::string runner;
   std::string adapter;
   double prompt_tokens = 0;
+  PromptChain chain;
+  Time sent_at;  // not sent; from the message
 };
 
 // What a backend server told a host of its limit (named_limit.h).
@@ -101,6 +104,13 @@
   LoadProbe probe;
   int64_t answered_probe = 0;  // id of the receiver's probe; 0 if none
   std::vector<SentRequest> sent;
+  // Owned runner -> tokens of the probe's chain that are probably cached there;
+  // without those whose cache is unknown.
+  std::map<std::string, double> cached_tokens;
+  std::map<std::string, RunnerModel>
+      models;  // owned runner -> from its answers
+  // Runner -> observations for its owner.
+  std::map<std::string, std::vector<FirstTokenObservation>> observations;
   std::vector<ListUpdate> updates;
   std::map<std::string, PeerLimit> limits;     // by runner
   std::map<std::string, PeerBrittle> brittle;  // by service
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -12,15 +12,6 @@
 namespace rosemaryhook {
 namespace {
 
-// Prompt tokens that a runner reads in a millisecond while it also generates
-// tokens for other requests: 83 us per token in normal operation. The engines'
-// specification gives 19.2 for an idle runner.
-constexpr double kPromptTokensPerMs = 12;
-
-// Time to the first token of the shortest prompt, from the engines'
-// specification.
-constexpr double kFirstTokenMs = 80;
-
 // A runner keeps a prompt that it has read at least this long in normal
 // operation.
 constexpr Duration kPromptRetention = std::chrono::seconds(10);
@@ -35,11 +26,9 @@
 // regard to the ranking.
 constexpr double kLongPromptTokens = 3000;
 
-// Weight of one running request. By itself it hardly slows the others. But
-// where prompts are read without a pause, each generated token takes six times
-// as long and requests accumulate, so many running requests indicate a runner
-// that is saturated.
-constexpr double kMsPerRunning = 3;
+// A shared prefix of at least this length has runners of its own: about 40 ms
+// of an idle engine, more than the estimates of the wait usually differ by.
+constexpr double kLongPrefixTokens = 1500;
 
 // A request beyond the slots waits for a running one to end.
 constexpr double kMsPerQueued = 60;
@@ -92,12 +81,17 @@
   return held != view.held.end() && held->second >= wanted.adapter_version;
 }
 
+// The factor on the values of the model where these are not learned.
+double LatencyRatio(const RunnerView& view) {
+  return view.model.source == ModelSource::kDefault
+             ? view.first_token_latency.ratio
+             : 1;
+}
+
 double Score(const RunnerView& view, const WantedRunner& wanted, Time now) {
-  const bool is_read =
-      !wanted.shared_prompt.empty() &&
-      HasRecentPrompt(view.recent_prompts, wanted.shared_prompt, now);
   double score = EstimateFirstTokenMs(
-      view, wanted.prompt_tokens - (is_read ? wanted.shared_tokens : 0));
+      view, TokensToRead(wanted.prompt_tokens,
+                         CachedTokens(view, wanted.prefix, now)));
   score += kMsPerFailure * FailureShare(view.health);
   score += view.entry.zone == wanted.zone ? 0 : kMsCrossZone;
   return score;
@@ -234,6 +228,35 @@
   return is_busy ? PreferredWithin(loadable, kHomeSlackMs) : home;
 }
 
+// The first kMaxProbes - 1 runners of the own zone in the rendezvous order of
+// the shared prefix, and the first of the other zones. All hosts ask about the
+// same few runners, so one of them has the prefix cached; if it is busy, the
+// next one gets it too. Empty if the prefix is short or has no chain.
+std::vector<std::string> PrefixTargets(
+    const std::vector<const RunnerView*>& holders,
+    const WantedRunner& wanted) {
+  if (wanted.prefix.chain.empty() || wanted.prefix.tokens < kLongPrefixTokens) {
+    return {};
+  }
+  std::vector<std::pair<uint64_t, const RunnerView*>> ranked;
+  ranked.reserve(holders.size());
+  for (const RunnerView* view : holders) {
+    ranked.emplace_back(RendezvousWeight(wanted.prefix.key, view->entry.id),
+                        view);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<std::string> targets;
+  size_t own = 0;
+  size_t other = 0;
+  for (const auto& [weight, view] : ranked) {
+    const bool is_own = view->entry.zone == wanted.zone;
+    if (is_own ? own++ < kMaxProbes - 1 : other++ < 1) {
+      targets.push_back(view->entry.id);
+    }
+  }
+  return targets;
+}
+
 }  // namespace
 
 RunnerLoad TotalLoad(const RunnerView& view) {
@@ -279,9 +302,8 @@
 
 double QueueDelayMs(const RunnerLoad& load, const RunnerView& view) {
   const int queued = std::max(0, load.running + 1 - view.entry.slots);
-  return view.first_token_latency.ratio * load.prompt_tokens /
-             kPromptTokensPerMs +
-         kMsPerRunning * load.running + kMsPerQueued * queued;
+  return LatencyRatio(view) * load.prompt_tokens / view.model.tokens_per_ms +
+         view.model.ms_per_running * load.running + kMsPerQueued * queued;
 }
 
 bool IsUrgentChange(const RunnerLoad& announced,
@@ -292,12 +314,41 @@
 }
 
 double EstimateFirstTokenMs(const RunnerView& view, double prompt_tokens) {
-  const double first = prompt_tokens > 0 ? kFirstTokenMs : 0;
-  return view.first_token_latency.ratio *
-             (first + prompt_tokens / kPromptTokensPerMs) +
+  const double first = prompt_tokens > 0 ? view.model.first_token_ms : 0;
+  return LatencyRatio(view) *
+             (first + prompt_tokens / view.model.tokens_per_ms) +
          QueueDelayMs(TotalLoad(view), view);
 }
 
+double CachedTokens(const RunnerView& view,
+                    const PromptPrefix& prefix,
+                    Time now) {
+  if (prefix.chain.empty()) {
+    const bool is_cached =
+        !prefix.key.empty() &&
+        HasRecentPrompt(view.recent_prompts, prefix.key, now);
+    return is_cached ? prefix.tokens : 0;
+  }
+  const auto cached = prefix.cached.find(view.entry.id);
+  return cached != prefix.cached.end()
+             ? cached->second
+             : ExpectedCached(view.sent_prompts, prefix.chain, now);
+}
+
+void RecordPrefix(const PromptPrefix& prefix, Time now, RunnerView* view) {
+  if (!prefix.chain.empty()) {
+    RecordSentChain(prefix.chain, now, &view->sent_prompts);
+  } else if (!prefix.key.empty()) {
+    RecordPrompt(prefix.key, now, &view->recent_prompts);
+  }
+}
+
+double TokensToRead(double prompt_tokens, double cached_tokens) {
+  // A prompt that is cached whole still takes the time of a first token.
+  return cached_tokens > 0 ? std::max(1.0, prompt_tokens - cached_tokens)
+                           : prompt_tokens;
+}
+
 bool HasSaidLeaving(const RunnerView& view) {
   return view.leaving_starts_ms.contains(view.entry.start_ms);
 }
@@ -384,7 +435,18 @@
     ranked.emplace_back(RendezvousWeight(request_id, view->entry.id), view);
   }
   std::sort(ranked.rbegin(), ranked.rend());
-  std::vector<std::string> targets;
+  std::vector<std::string> targets = PrefixTargets(holders, wanted);
+  if (!targets.empty()) {
+    const auto random =
+        std::find_if(ranked.begin(), ranked.end(), [&](const auto& entry) {
+          return std::find(targets.begin(), targets.end(),
+                           entry.second->entry.id) == targets.end();
+        });
+    if (random != ranked.end()) {
+      targets.push_back(random->second->entry.id);
+    }
+    return targets;
+  }
   const auto add = [&](bool is_own_zone, size_t most) {
     for (const auto& [weight, view] : ranked) {
       if (targets.size() < most &&
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -26,9 +26,11 @@
 #include <vector>
 
 #include "rosemaryhook/brittle_server.h"
+#include "rosemaryhook/kept_prompts.h"
 #include "rosemaryhook/named_limit.h"
 #include "rosemaryhook/runner_entry.h"
 #include "rosemaryhook/runner_health.h"
+#include "rosemaryhook/runner_model.h"
 #include "rosemaryhook/send_pause.h"
 #include "rosemaryhook/send_rate.h"
 #include "rosemaryhook/server_path.h"
@@ -76,7 +78,10 @@
   RunnerHealth health;
   ServerPath path;
   FirstTokenLatency first_token_latency;
+  // Learned only where the configuration of its service has a KV capacity.
+  RunnerModel model;
   RecentPrompts recent_prompts;
+  SentPrompts sent_prompts;  // by this host, with the chains of the prompts
   Time cold_until;
   NamedLimit named_limit;
   Time told_at;             // `named_limit.as_of` of its newest own answer
@@ -121,8 +126,7 @@
   int64_t adapter_version = 0;  // or newer
   std::string affinity_key;     // hashed where there is no adapter
   double prompt_tokens = 0;
-  std::string shared_prompt;  // key of the prompt prefix shared with others
-  double shared_tokens = 0;   // length of that prefix
+  PromptPrefix prefix;
   bool has_engine = false;
   std::string failed_home;      // did not load the adapter when requested
   std::set<std::string> tried;  // ids of runners not to be used again
@@ -133,6 +137,17 @@
   const std::set<std::string>* zones_out = nullptr;
 };
 
+// Expected tokens of a prompt that the runner has cached and need not read.
+double CachedTokens(const RunnerView& view,
+                    const PromptPrefix& prefix,
+                    Time now);
+
+// Records a prompt that this host sends to the runner.
+void RecordPrefix(const PromptPrefix& prefix, Time now, RunnerView* view);
+
+// The part of a prompt that a runner reads which has cached `cached_tokens`.
+double TokensToRead(double prompt_tokens, double cached_tokens);
+
 // Whether the backend server has said in an answer that it leaves. Holds for
 // the lifetime in which it said so, whatever the list says of that lifetime.
 bool HasSaidLeaving(const RunnerView& view);
@@ -183,7 +198,9 @@
                           Time now);
 
 // The ids of at most kMaxProbes of `holders`, mostly of the zone of the host
-// that sends the request, otherwise at random by `request_id`.
+// that sends the request, otherwise at random by `request_id`. For a long
+// shared prefix one more, and most of them are the same for all requests with
+// that prefix, so that it is cached on few runners.
 constexpr size_t kMaxProbes = 3;
 std::vector<std::string> ProbeTargets(
     const std::vector<const RunnerView*>& holders,
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -3,9 +3,10 @@
   adapter_demand adapter_plan answer_head answer_match api backend_state
   bounded_cbor brittle_server claims contact deployment direct_state endless_requests
   event_splitter fleet_state http_io idempotency joined_heads endless_bytes
+  kept_prompts
   load_pacing list_trust membership peer_backlog peer_bounds peer_reads
-  placement platform_codec port_block rates prompt_suspects repeat_limits repeated_ids request_memory
-  retries routing runner_choice runner_ownership request_suspects
+  placement platform_codec port_block rates prompt_owner prompt_replay prompt_suspects repeat_limits repeated_ids request_memory
+  retries routing runner_choice runner_model runner_ownership request_suspects
   runner_ownership_leaving send_pause server_path send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
   token_limits_restart token_record named_limit task request_framing
