Test that hosts find the prompts that others have sent

Three hosts and four runners as processes on loopback: the second and third host send a prompt to the runner where the first one sent its beginning, with 5,985 tokens expected to be cached.

--- a/rosemaryhook/testing/direct_process_test.cc
+++ b/rosemaryhook/testing/direct_process_test.cc
@@ -383,6 +383,50 @@
   }
 }
 
+// Value of `field` in the line of the log in which `event` has the id `id`.
+std::string Logged(const Site& site,
+                   int host,
+                   const std::string& event,
+                   const std::string& id,
+                   const std::string& field) {
+  const std::string log = site.LogOf(host);
+  const size_t line = log.find("event=" + event + " id=" + id + " ");
+  const size_t end = log.find('\n', line);
+  const size_t at = log.find(" " + field + "=", line) + field.size() + 2;
+  return line == std::string::npos || at >= end
+             ? ""
+             : log.substr(at, log.find_first_of(" \n", at) - at);
+}
+
+// Another host would read 6,300 tokens anew, as it has not sent them itself.
+BOOST_AUTO_TEST_CASE(a_prompt_that_another_host_sent_is_found) {
+  Site site(
+      {.port = 27100, .hosts = 3, .runners = 4, .kv_capacity_tokens = 100'000});
+  const auto ask = [&](int host, const std::string& id) {
+    return site.Send(host, "/chat/1",
+                     {{"X-Attempt-Id", id},
+                      {"X-Model", "base"},
+                      {"X-Token-Usage", "9190,50"},
+                      {"X-Prompt-Prefix", "p:6300," + id + ":2800"}},
+                     "prompt " + id);
+  };
+  BOOST_TEST(ask(0, "first").status == 200);
+  const std::string runner = Logged(site, 0, "route", "first", "runner");
+  BOOST_REQUIRE(!runner.empty());
+  // On a busy machine an owner may not answer in time.
+  constexpr int kTries = 5;
+  for (const int host : {1, 2}) {
+    bool is_found = false;
+    for (int i = 0; i < kTries && !is_found; ++i) {
+      const std::string id = "other" + NextId();
+      BOOST_TEST(ask(host, id).status == 200);
+      is_found = Logged(site, host, "route", id, "runner") == runner &&
+                 Logged(site, host, "first_token", id, "cached") == "5985";
+    }
+    BOOST_TEST(is_found, "host " << host);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -206,13 +206,16 @@
     routes.push_back(RouteJson(fmt::format("more-{}", i), "booking",
                                "idempotent", false, timeout));
   }
-  const Json engine{{"slots", 8},
-                    {"weight_size", 1200.0},
-                    {"adapter_slots", 3},
-                    {"loads_per_s", 10.0},
-                    {"models", Json::array({{{"name", "base"},
-                                             {"weight_size", 1000.0},
-                                             {"adapter_mb", 40.0}}})}};
+  Json engine{{"slots", 8},
+              {"weight_size", 1200.0},
+              {"adapter_slots", 3},
+              {"loads_per_s", 10.0},
+              {"models", Json::array({{{"name", "base"},
+                                       {"weight_size", 1000.0},
+                                       {"adapter_mb", 40.0}}})}};
+  if (options_.kv_capacity_tokens > 0) {
+    engine["kv_capacity_tokens"] = options_.kv_capacity_tokens;
+  }
   Set("op", "config",
       {{"version", version},
        {"routes", routes},
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -33,7 +33,8 @@
   double burst = 1e6;
   int work_ms = 15;       // per request, of a backend server without a model
   int timeout_ms = 4000;  // of the routes
-  int lease_ms = 1000;    // between orders of two hosts to one runner
+  int kv_capacity_tokens = 0;  // of a runner; 0: not in the configuration
+  int lease_ms = 1000;         // between orders of two hosts to one runner
   // Hosts reach the store and backend servers through StoreProxy and
   // BackendProxy, where the test must run a proxy.
   bool is_proxied = false;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -95,6 +95,7 @@
   direct/a_draining_host_continues_to_give_orders
   direct/a_prompt_part_that_crashes_runners_is_refused
   direct/a_stream_that_ends_within_an_event_is_not_complete
+  direct/a_prompt_that_another_host_sent_is_found
   refused_host/a_long_configuration_reaches_hosts_the_store_refuses
   takeover/a_restarted_host_keeps_the_wait_after_a_takeover
   odd_rows/hosts_follow_the_lists_after_odd_entries
