--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -104,6 +104,12 @@
   if (held == view.held && view.is_owner_reachable == is_owner_reachable) {
     return;
   }
+  for (const auto& [adapter, version] : view.held) {
+    const auto now_held = held.find(adapter);
+    if (now_held == held.end() || now_held->second != version) {
+      DropKept(adapter, &owned->kept_prompts);
+    }
+  }
   view.held = std::move(held);
   view.is_owner_reachable = is_owner_reachable;
   daemon->owned_changed.insert(runner);
@@ -463,6 +469,8 @@
     auto owned = std::make_shared<OwnedRunner>(daemon->io.get_executor());
     UpdateAdapterSlots(*daemon, runner, owned.get());
     owned->plan.copies_from = Now() + kDemandLearningTime;
+    owned->kept_prompts.began = Now();
+    owned->observed.earlier = view->model;
     // Until its first report, requests may use the adapters in its list entry.
     for (const auto& [adapter, version] : view->entry.adapters) {
       owned->plan.adapters[adapter] = {SlotPhase::kHeld, version, Now()};
@@ -493,6 +501,8 @@
   if (service != daemon.deployment->services.end()) {
     owned->plan.adapter_slots = MaxAdapterSlots(service->second.engine);
     owned->plan.weighs_loads = HasScarceSlots(daemon, service->second);
+    owned->kept_prompts.capacity_tokens =
+        service->second.engine.kv_capacity_tokens;
     owned->plan.model_wanted = LeastHeldModel(daemon, service->second);
   }
 }
@@ -544,6 +554,9 @@
   if (owned == daemon->owned.end()) {
     return false;
   }
+  RecordKept({sent.chain, sent.adapter, sent.prompt_tokens,
+              TotalLoad(daemon->runners[sent.runner]).running, sent.sent_at},
+             now, &owned->second->kept_prompts);
   if (!sent.adapter.empty()) {
     AdapterPlan& plan = owned->second->plan;
     RecordUsed(sent.adapter, now, &plan);
--- a/rosemaryhook/direct_peers.cc
+++ b/rosemaryhook/direct_peers.cc
@@ -266,9 +266,11 @@
     }
     ApplyListUpdate(update, now, daemon);
   }
-  for (const SentRequest& sent : message.sent) {
+  for (SentRequest sent : message.sent) {
+    sent.sent_at = daemon->hosts[message.session].last_sent;
     RecordAdapterSent(sent, now, daemon);
   }
+  RecordObservations(message, now, daemon);
   HandleRecordRequests(message, now, daemon);
   RecordWritten(message.records_written, daemon);
   RecordDutyMessage(message, now, daemon);
