--- a/rosemaryhook/direct_places.cc
+++ b/rosemaryhook/direct_places.cc
@@ -143,8 +143,8 @@
   }
 }
 
-void SendAnswers(Answers answers, DirectDaemon* daemon) {
-  for (auto& [address, items] : answers) {
+void SendAnswers(const Answers& answers, DirectDaemon* daemon) {
+  for (const auto& [address, items] : answers) {
     for (const PeerPlaceAnswer& item : items) {
       daemon->metrics.Count("place_answers_total",
                             Label("kind", kAnswerNames, item.answer.kind));
@@ -154,7 +154,7 @@
     }
     if (address != daemon->settings.peers) {
       PeerMessage message = NewMessage(daemon);
-      message.places.answers = std::move(items);
+      message.places.answers = items;
       SendPeerMessage(address, message, daemon);
     }
   }
@@ -239,7 +239,7 @@
   if (coordinator == daemon->settings.peers) {
     Answers answers;
     ApplyEnd(daemon->session, end, Now(), daemon, &answers);
-    SendAnswers(std::move(answers), daemon);
+    SendAnswers(answers, daemon);
     return;
   }
   PeerMessage message = NewMessage(daemon);
@@ -325,7 +325,7 @@
   if (place->coordinator == daemon->settings.peers) {
     AddAnswer(daemon->session, daemon->settings.zone, daemon->settings.peers,
               ask, now, daemon, &answers);
-    SendAnswers(std::move(answers), daemon);
+    SendAnswers(answers, daemon);
     return;
   }
   PeerMessage message = NewMessage(daemon);
@@ -540,7 +540,7 @@
     Log("place_queue", {{"service", it->first}, {"state", "closed"}});
     it = daemon->places.queues.erase(it);
   }
-  SendAnswers(std::move(answers), daemon);
+  SendAnswers(answers, daemon);
 }
 
 awaitable<void> PlacesLoop(DirectDaemonPtr daemon) {
@@ -751,7 +751,7 @@
     AddAnswer(message.session, message.zone, message.address, ask, now, daemon,
               &answers);
   }
-  SendAnswers(std::move(answers), daemon);
+  SendAnswers(answers, daemon);
   for (const PeerPlaceAnswer& answer : places.answers) {
     DeliverAnswer(message.address, answer, daemon);
   }
--- a/rosemaryhook/place_queue.h
+++ b/rosemaryhook/place_queue.h
@@ -22,12 +22,12 @@
 #ifndef ROSEMARYHOOK_PLACE_QUEUE_H_
 #define ROSEMARYHOOK_PLACE_QUEUE_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "rosemaryhook/time.h"
@@ -67,7 +67,10 @@
 struct PlaceKey {
   std::string session;
   int64_t id = 0;
-  auto operator<=>(const PlaceKey&) const = default;
+
+  bool operator<(const PlaceKey& other) const {
+    return std::tie(id, session) < std::tie(other.id, other.session);
+  }
 };
 
 struct PlaceRequest {
--- a/rosemaryhook/testing/place_queue_test.cc
+++ b/rosemaryhook/testing/place_queue_test.cc
@@ -33,6 +33,7 @@
 
 PlaceQueue QueueOf(int servers, int slots) {
   std::vector<PlaceServer> list;
+  list.reserve(servers);
   for (int i = 0; i < servers; ++i) {
     list.push_back(
         {"i-" + std::to_string(i), 1, slots, "z" + std::to_string(i)});
@@ -479,6 +480,7 @@
   int strong = 0;
   for (int service = 0; service < 1000; ++service) {
     std::vector<PlaceCandidate> candidates;
+    candidates.reserve(kHosts);
     for (int i = 0; i < kHosts; ++i) {
       candidates.push_back(
           {"10.0.0." + std::to_string(i) + ":7600", i < 8 ? 0.5 : 0.09});
