Ask the platform for the number of servers that services want

Cause: a service with `autoscale` in its configuration is billed by the second; waves of 15 s must not be followed, lost servers and zones must be made up for.

Windows wait longer for hosts that are not heard, and a holder that has just got the store back is not replaced.

--- a/rosemaryhook/direct_duties.cc
+++ b/rosemaryhook/direct_duties.cc
@@ -42,6 +42,10 @@
 // begins in the first 1.5 s of it, which is one read and a half.
 constexpr Duration kDutyContactTimeout = std::chrono::milliseconds(3500);
 
+// Three messages of the largest fleets. A takeover without need delays a report
+// by a few seconds, and one that is needed is earlier by as much.
+constexpr Duration kHolderTimeout = std::chrono::milliseconds(3000);
+
 // Interval of the holder's reads of its row. At 40 s a day these are the 40
 // calls to the store that the duties need.
 constexpr Duration kHolderReadInterval = std::chrono::milliseconds(1000);
@@ -61,8 +65,17 @@
 // sent by those that have them.
 constexpr Duration kRankTimeout = std::chrono::milliseconds(2500);
 
-// A holder that was not heard for this long is looked for in the store.
-constexpr Duration kHolderTimeout = std::chrono::milliseconds(2500);
+// A holder that was not heard for this long is looked for in the store, so that
+// its row is known when it may be replaced.
+constexpr Duration kQuietHolderTimeout = std::chrono::milliseconds(2500);
+
+// A holder that has lost the store has it back at about the same time as the
+// others, and its messages say so within this time. The holder stays then, as a
+// takeover delays reports by seconds.
+constexpr Duration kRegainTime = std::chrono::milliseconds(1500);
+
+// A host that was not heard for this long has ended.
+constexpr Duration kLostHostTimeout = std::chrono::seconds(12);
 
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(700);
 constexpr Duration kDutyTick = std::chrono::milliseconds(100);
@@ -110,7 +123,36 @@
       daemon.hosts.begin(), daemon.hosts.end(), [&](const auto& entry) {
         const PeerHost& host = entry.second;
         return host.duties && host.duties->is_holder && host.duties->is_able &&
-               !host.is_leaving && now - host.last_seen < kHolderTimeout;
+               !host.is_leaving && now - host.last_seen < kQuietHolderTimeout;
+      });
+}
+
+// Whether the holder is there and has lost the store.
+bool HasUnableHolder(const DirectDaemon& daemon, Time now) {
+  return std::any_of(
+      daemon.hosts.begin(), daemon.hosts.end(), [&](const auto& entry) {
+        const PeerHost& host = entry.second;
+        return host.duties && host.duties->is_holder && !host.duties->is_able &&
+               !host.is_leaving && now - host.last_seen < kQuietHolderTimeout;
+      });
+}
+
+bool MayClaim(const DirectDaemon& daemon, Time now) {
+  const DutyState& state = *daemon.duties;
+  const Duration settle =
+      HasUnableHolder(daemon, now) ? kRegainTime : Duration::zero();
+  return state.is_read && now - state.read_since >= settle &&
+         !HasOtherHolder(daemon, now);
+}
+
+// Whether a host that counts was heard until a short while ago.
+bool HasSilentHost(const DirectDaemon& daemon, Time now) {
+  return std::any_of(
+      daemon.hosts.begin(), daemon.hosts.end(), [&](const auto& entry) {
+        const PeerHost& host = entry.second;
+        const Duration silence = now - host.last_seen;
+        return host.duties && !host.is_leaving && silence >= kRankTimeout &&
+               silence < kLostHostTimeout;
       });
 }
 
@@ -333,6 +375,7 @@
   const Error* error = Failure(read);
   if (error != nullptr || NoteStoreEra(std::get<StoreRows>(read).era, Now(),
                                        daemon.get()) == EraNews::kOlder) {
+    state.is_read = false;
     if (!std::exchange(state.is_store_lost, true)) {
       Log("duty_store_lost",
           {{"why", error == nullptr ? "an older era" : error->message}});
@@ -342,7 +385,9 @@
     co_return;
   }
   state.is_store_lost = false;
-  state.is_read = true;
+  if (!std::exchange(state.is_read, true)) {
+    state.read_since = Now();
+  }
   state.read_due =
       sent + (was_holder ? kHolderReadInterval : kCandidateReadInterval);
   const StoreRows& rows = std::get<StoreRows>(read);
@@ -414,6 +459,7 @@
   holder.complete_from_ms =
       std::max(true_at(started), true_at(since) - kUsageResendMs);
   holder.lost_until = state.lost_until;
+  holder.has_silent_host = HasSilentHost(daemon, now);
   return holder;
 }
 
@@ -532,8 +578,7 @@
     if (ShouldReadHolder(*daemon, Now())) {
       co_await ReadHolder(daemon);
     }
-    if (state.is_read && !state.is_store_lost &&
-        !HasOtherHolder(*daemon, Now())) {
+    if (MayClaim(*daemon, Now())) {
       co_await ClaimRows(daemon, kDutyHolders, rows, ClaimingHosts(*daemon));
     }
     if (!IsDutyHolder(*daemon) && HasOtherHolder(*daemon, Now())) {
@@ -643,6 +688,7 @@
   holders.started = daemon->started;
   holders.lease = daemon->settings.order_lease;
   holders.contact_timeout = kDutyContactTimeout;
+  holders.owner_timeout = kHolderTimeout;
   if (Performs(daemon->settings)) {
     daemon->duties = std::make_shared<DutyState>();
     daemon->duties->pool.source = daemon->pool.source;
--- a/rosemaryhook/direct_duties.h
+++ b/rosemaryhook/direct_duties.h
@@ -44,7 +44,8 @@
   int64_t era = 0;  // of the store, in which `lost_until` was set
   int64_t lost_until = -1;
   Time read_due;               // next read of the holders
-  bool is_read = false;        // the holders, at least once
+  bool is_read = false;        // the holder's row, while nobody can hold it
+  Time read_since;             // when it was first read so
   bool is_store_lost = false;  // the newest of these reads failed
   bool are_rows_read = false;  // of usage, since this host is the holder
   std::map<int64_t, FixedWindow> fixed;
--- a/rosemaryhook/direct_scale.cc
+++ b/rosemaryhook/direct_scale.cc
@@ -103,14 +103,16 @@
   return states;
 }
 
-// What another host says that it has asked for as the holder.
+// What the host that was the holder last says that it has asked for.
 WorkByZone CountsOfHolder(const DirectDaemon& daemon) {
+  const PeerHost* holder = nullptr;
   for (const auto& [session, host] : daemon.hosts) {
-    if (host.duties && host.duties->is_holder && !host.is_leaving) {
-      return host.duties->desired;
+    if (host.duties && host.duties->is_holder &&
+        (holder == nullptr || host.last_seen > holder->last_seen)) {
+      holder = &host;
     }
   }
-  return {};
+  return holder == nullptr ? WorkByZone() : holder->duties->desired;
 }
 
 // Follows the holder, so that this host begins with its counts if it is next.
--- a/rosemaryhook/runner_ownership.cc
+++ b/rosemaryhook/runner_ownership.cc
@@ -187,7 +187,7 @@
   const Time last_seen =
       host == hosts.end() ? ownership.started : host->second.last_seen;
   *reason = ClaimReason::kOwnerSilent;
-  return now - last_seen >= kOwnerTimeout;
+  return now - last_seen >= ownership.owner_timeout;
 }
 
 }  // namespace
--- a/rosemaryhook/runner_ownership.h
+++ b/rosemaryhook/runner_ownership.h
@@ -110,6 +110,7 @@
   Duration lease = std::chrono::seconds(3);
   // As kOrderContactTimeout; the same at all hosts that claim these rows.
   Duration contact_timeout = kOrderContactTimeout;
+  Duration owner_timeout = kOwnerTimeout;
   std::map<std::string, OwnerRow> rows;            // by runner
   std::map<std::string, OrderRight> order_rights;  // by own runner
   std::map<std::string, Time> unowned_since;  // first seen without a live owner
--- a/rosemaryhook/testing/duties_process_test.cc
+++ b/rosemaryhook/testing/duties_process_test.cc
@@ -1,6 +1,8 @@
 // Tests of the duties of the platform with real daemons and a stand-in of the
 // platform that checks its rules: one content for each window, fencing numbers
 // that never go down, and a lease between the calls of two hosts.
+#include <fmt/core.h>
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -20,13 +22,15 @@
 
 class DutySite {
  public:
-  explicit DutySite(int port)
+  explicit DutySite(int port, int work_ms = 15, int scale_max = 0)
       : site({.port = port,
               .hosts = kHosts,
               .runners = 0,
               .services = 2,
+              .work_ms = work_ms,
               .lease_ms = 3000,
-              .has_duties = true}) {
+              .has_duties = true,
+              .scale_max = scale_max}) {
     for (int i = 0; i < kHosts; ++i) {
       callers_.emplace_back([this, i] { Call(i); });
     }
@@ -148,7 +152,8 @@
   BOOST_TEST(due >= 3);
   BOOST_TEST(reported == due);
   std::map<int64_t, int> accepted;
-  for (const Json& call : duties.site.Ledger()["duties"]) {
+  const Json calls = duties.site.Ledger()["duties"];
+  for (const Json& call : calls) {
     accepted[call["body"]["window"].get<int64_t>()] += call["status"] == 200;
   }
   for (const auto& [window, times] : accepted) {
@@ -163,7 +168,6 @@
   BOOST_TEST(duties.AwaitReport(0));
   const int holder = duties.Holder();
   duties.site.Fault({{"duty_down", true}});
-  const std::string fixed = "event=usage_window ";
   const size_t before = duties.site.LogOf(holder).rfind("state=fixed");
   Await(10, [&] {
     return duties.site.LogOf(holder).rfind("state=fixed") != before;
@@ -172,16 +176,13 @@
   duties.site.Kill(duties.site.host(holder));
   const int64_t killed = WallMillis();
   duties.site.Fault({{"duty_down", false}});
-  // The window that was fixed last.
+  // The window that was fixed last and that nobody has reported.
   const int64_t window = killed / kWindowMs - 1;
   BOOST_TEST(Await(30, [&] {
-    for (const Json& call : duties.site.Ledger()["duties"]) {
-      if (call["body"]["window"].get<int64_t>() >= window &&
-          call["status"] == 200) {
-        return true;
-      }
-    }
-    return false;
+    const Json calls = duties.site.Ledger()["duties"];
+    return std::any_of(calls.begin(), calls.end(), [&](const Json& call) {
+      return call["body"]["window"] == window && call["status"] == 200;
+    });
   }));
   BOOST_TEST(duties.Holder() != holder);
   SleepSeconds(20);
@@ -228,6 +229,57 @@
   duties.CheckRules();
 }
 
+// Guards against a count that is not sent, or sent again and again, and against
+// a new holder that begins with another one.
+BOOST_AUTO_TEST_CASE(the_servers_wanted_are_asked_for) {
+  // 17 requests run at two servers with 8 slots, or wait for them.
+  DutySite duties(28500, 300, 4);
+  const auto counts_of = [&](const std::string& zone) {
+    std::vector<int> counts;
+    const Json calls = duties.site.Ledger()["duties"];
+    for (const Json& call : calls) {
+      if (call["subject"] == "booking/" + zone) {
+        counts.push_back(call["body"]["desired_count"].get<int>());
+      }
+    }
+    return counts;
+  };
+  std::atomic<bool> is_ended = false;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 14; ++i) {
+    callers.emplace_back([&, i] {
+      for (int n = 0; !is_ended; ++n) {
+        const std::string id = fmt::format("more-{}-{}", i, n);
+        if (duties.site.Book(i % kHosts, id).status != 200) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+      }
+    });
+  }
+  BOOST_TEST(Await(30, [&] {
+    return !counts_of("zone-0").empty() && !counts_of("zone-1").empty();
+  }));
+  SleepSeconds(8);
+  const auto counts = counts_of("zone-0");
+  BOOST_TEST(counts.size() >= 2);  // the last once more
+  BOOST_TEST(counts.size() <= 6);
+  BOOST_TEST(counts.back() >= 2);
+  BOOST_TEST(counts.back() <= 4);
+  const size_t before = counts.size();
+  const int holder = duties.Holder();
+  duties.is_paused[holder] = true;
+  duties.site.Kill(duties.site.host(holder));
+  BOOST_TEST(Await(30, [&] { return counts_of("zone-0").size() > before; }));
+  BOOST_TEST(duties.Holder() != holder);
+  BOOST_TEST(counts_of("zone-0").at(before) >= counts.back() - 1);
+  BOOST_TEST(counts_of("zone-0").at(before) <= counts.back());
+  is_ended = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  duties.CheckRules();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -2,6 +2,7 @@
 #include <random>
 
 #include "platform/configuration_codec.h"
+#include "platform/duty_codec.h"
 #include "platform/header_codec.h"
 #include "platform/runner_codec.h"
 #include "platform/store_codec.h"
@@ -581,6 +582,108 @@
   }
 }
 
+// Guards against a report that the next holder cannot read, or that it changes.
+BOOST_AUTO_TEST_CASE(usage_reports_are_written_and_read) {
+  const std::string report = EncodeUsageReport(359320761, {{"b", 7}, {"a", 2}});
+  BOOST_TEST(report == R"({"counts":{"a":2,"b":7},"window":359320761})");
+  BOOST_TEST(EncodeUsageReport(1, {}) == R"({"counts":{},"window":1})");
+  const auto window = ParseUsageWindow(report);
+  BOOST_REQUIRE(Failure(window) == nullptr);
+  BOOST_TEST(std::get<int64_t>(window) == 359320761);
+  for (const char* bad :
+       {"", "{", "[]", "7", R"({"window":1})", R"({"counts":{}})",
+        R"({"window":"1","counts":{}})", R"({"window":1,"counts":[1]})"}) {
+    BOOST_TEST((Failure(ParseUsageWindow(bad)) != nullptr), bad);
+  }
+  for (size_t size = 0; size < report.size(); ++size) {
+    BOOST_TEST((Failure(ParseUsageWindow(report.substr(0, size))) != nullptr));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(duty_calls_are_encoded) {
+  const Headers headers = DutyHeaders("entry-1", 12);
+  BOOST_TEST(HeaderOf(headers, "X-Duty-Holder") == "entry-1");
+  BOOST_TEST(HeaderOf(headers, "X-Fencing-Token") == "12");
+  BOOST_TEST(EncodeDesiredScale("chat", "z1", 21) ==
+             R"({"desired_count":21,"service":"chat","zone":"z1"})");
+}
+
+// Guards against calls that are repeated in vain, and against giving up when
+// the API is only busy.
+BOOST_AUTO_TEST_CASE(answers_to_duty_calls_are_classified) {
+  for (const int status : {200, 204}) {
+    BOOST_TEST((ClassifyDutyAnswer(status) == DutyAnswer::kAccepted), status);
+  }
+  for (const int status : {400, 403, 409, 412}) {
+    BOOST_TEST((ClassifyDutyAnswer(status) == DutyAnswer::kRefused), status);
+  }
+  for (const int status : {408, 429, 500, 503, 302, 0}) {
+    BOOST_TEST((ClassifyDutyAnswer(status) == DutyAnswer::kRetry), status);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(duties_of_a_later_platform_are_left_out) {
+  std::string unknown;
+  BOOST_TEST(ParseDuties("usage_report, autoscale", &unknown).size() == 2);
+  BOOST_TEST(unknown.empty());
+  BOOST_TEST(ParseDuties("", &unknown).empty());
+  const auto duties = ParseDuties(",sweep,usage_report,,mop", &unknown);
+  BOOST_TEST((duties == std::set<Duty>{Duty::kUsageReport}));
+  BOOST_TEST(unknown == "sweep,mop");
+}
+
+// A rule that makes no sense must not keep the configuration from taking
+// effect.
+BOOST_AUTO_TEST_CASE(rules_of_scaling_are_parsed_or_left_out) {
+  const auto parse = [](const std::string& rule) {
+    const auto parsed = ParseDeployment(
+        R"({"version":1,"routes":[],"services":[{"name":"chat","autoscale":)" +
+        rule + "}]}");
+    BOOST_REQUIRE(Failure(parsed) == nullptr);
+    return std::get<Deployment>(parsed).services.at("chat").scale;
+  };
+  const auto scale = parse(R"({"min":19,"max":46,"boot_s":8.5})");
+  BOOST_REQUIRE(scale.has_value());
+  BOOST_TEST(scale->min == 19);
+  BOOST_TEST(scale->max == 46);
+  BOOST_TEST(Millis(scale->boot) == 8500);
+  for (const char* bad :
+       {"null", "7", "{}", R"({"min":5,"max":4,"boot_s":1})",
+        R"({"min":"a","max":4})", R"({"min":-1,"max":4})",
+        R"({"min":1,"max":1e300})", R"({"min":1,"max":4,"boot_s":-2})",
+        R"({"min":1,"max":4,"boot_s":"soon"})"}) {
+    BOOST_TEST(!parse(bad).has_value(), bad);
+  }
+}
+
+// Guards against duties that get lost between hosts, and against messages that
+// throw.
+BOOST_AUTO_TEST_CASE(duties_in_peer_messages_round_trip) {
+  PeerMessage message;
+  message.session = "s";
+  BOOST_TEST(
+      !std::get<PeerMessage>(ParsePeerMessage(EncodePeerMessage(message)))
+           .duties.has_value());
+  message.duties = PeerDuties{true, true, 3, 77, {{"chat", {{"z", 5}}}}, -12};
+  message.usage = {{77, "t", {{"marsu", 4}}}};
+  message.work["chat"] = {{"z", 6}, {"", 1}};
+  const std::string bytes = EncodePeerMessage(message);
+  const auto parsed = ParsePeerMessage(bytes);
+  BOOST_REQUIRE(Failure(parsed) == nullptr);
+  const PeerMessage& decoded = std::get<PeerMessage>(parsed);
+  BOOST_TEST(EncodePeerMessage(decoded) == bytes);
+  BOOST_TEST(decoded.duties->wall_ahead_ms.value() == -12);
+  BOOST_TEST(decoded.duties->desired.at("chat").at("z") == 5);
+  BOOST_TEST(decoded.usage.at(0).counts.at("marsu") == 4);
+  BOOST_TEST(decoded.work.at("chat").at("") == 1);
+  std::mt19937 random(5);
+  for (int i = 0; i < 20'000; ++i) {
+    std::string mutated = bytes;
+    mutated[random() % mutated.size()] = static_cast<char>(random());
+    ParsePeerMessage(mutated);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/runner_ownership_test.cc
+++ b/rosemaryhook/testing/runner_ownership_test.cc
@@ -272,8 +272,14 @@
 // comes back from a copy, in a new era.
 class ClusterSimulation {
  public:
-  explicit ClusterSimulation(unsigned seed, bool has_restores = false)
-      : random_(seed), has_restores_(has_restores) {
+  explicit ClusterSimulation(unsigned seed,
+                             bool has_restores = false,
+                             Duration contact_timeout = kOrderContactTimeout,
+                             Duration owner_timeout = kOwnerTimeout)
+      : random_(seed),
+        has_restores_(has_restores),
+        contact_timeout_(contact_timeout),
+        owner_timeout_(owner_timeout) {
     for (int i = 0; i < 3; ++i) {
       hosts_.emplace_back();
       Restart(0, i);
@@ -390,6 +396,8 @@
     host.ownership =
         Ownership("s" + name + "." + std::to_string(starts), "a" + name);
     host.ownership.started = At(now);
+    host.ownership.contact_timeout = contact_timeout_;
+    host.ownership.owner_timeout = owner_timeout_;
   }
 
   void Receive(double now, int self) {
@@ -473,6 +481,8 @@
   std::mt19937 random_;
   std::vector<SimHost> hosts_;
   const bool has_restores_;
+  const Duration contact_timeout_;
+  const Duration owner_timeout_;
   // A state of the store.
   struct Copy {
     double at;
@@ -527,6 +537,23 @@
   BOOST_TEST(restores > 400);
 }
 
+// The same with the shorter timeouts of the holder of the duties.
+BOOST_AUTO_TEST_CASE(shorter_timeouts_bring_no_calls_closer) {
+  int changes = 0;
+  for (unsigned seed = 1; seed <= 120; ++seed) {
+    ClusterSimulation cluster(seed, seed % 2 == 0,
+                              std::chrono::milliseconds(3500),
+                              std::chrono::milliseconds(3000));
+    for (int tick = 0; tick < 12000; ++tick) {
+      cluster.Step(tick * 0.02);
+    }
+    BOOST_TEST(cluster.min_order_gap() >= 3.0, seed);
+    BOOST_TEST(!cluster.has_fence_fallen(), seed);
+    changes += cluster.owners_seen() > 1 ? 1 : 0;
+  }
+  BOOST_TEST(changes > 30);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/settings_test.cc
+++ b/rosemaryhook/testing/settings_test.cc
@@ -33,6 +33,34 @@
   }
 }
 
+// Guards against a host that does not start, or that reports windows of a wrong
+// length, for what the platform fills in.
+BOOST_AUTO_TEST_CASE(duties_are_optional_and_wrong_ones_are_not_performed) {
+  const auto parse = [](const std::string& text) {
+    const auto parsed = ParseSettings(std::string(kRequiredFields) + text, "f");
+    BOOST_REQUIRE_MESSAGE(Failure(parsed) == nullptr, text);
+    return std::get<Settings>(parsed);
+  };
+  const Settings none = parse("\n\nduties: \n\n");
+  BOOST_TEST(none.duty_address.empty());
+  BOOST_TEST(none.duties.empty());
+  BOOST_TEST(Millis(none.usage_window) == 0);
+  const Settings all = parse(
+      "duty_address: 10.0.0.1:80\nduties: usage_report,autoscale\n"
+      "duties_per_s: 50.0\nusage_window_ms: 5000\nusage_late_ms: 10000\n");
+  BOOST_TEST(all.duty_address == "10.0.0.1:80");
+  BOOST_TEST(all.duties.size() == 2);
+  BOOST_TEST(Millis(all.usage_window) == 5000);
+  BOOST_TEST(Millis(all.usage_late) == 10'000);
+  BOOST_TEST(all.adjusted.empty());
+  const Settings wrong = parse(
+      "duty_address: nowhere\nduties: usage_report,sweep\n"
+      "usage_window_ms: 5.000\n");
+  BOOST_TEST(wrong.duty_address.empty());
+  BOOST_TEST(Millis(wrong.usage_window) == 0);
+  BOOST_TEST(wrong.adjusted.size() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(errors_name_file_line_field_and_expectation) {
   const std::vector<std::pair<std::string, std::string>> cases{
       {"", "f:1: settings: expected a map"},
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -110,11 +110,12 @@
           ? fmt::format("source_address: {}\n", HostIp(host))
           : "";
   const std::string duties =
-      options_.has_duties ? fmt::format(
-                                "duty_address: {}\nduties: usage_report\n"
-                                "usage_window_ms: 5000\nusage_late_ms: 10000\n",
-                                Address(90))
-                          : "";
+      options_.has_duties
+          ? fmt::format(
+                "duty_address: {}\nduties: usage_report,autoscale\n"
+                "usage_window_ms: 5000\nusage_late_ms: 10000\n",
+                Address(90))
+          : "";
   return source + duties +
          fmt::format(
              "host: entry-{}\nzone: zone-{}\nserving: direct\ncallers: {}\n"
@@ -221,15 +222,19 @@
                     {"models", Json::array({{{"name", "base"},
                                              {"weight_size", 1000.0},
                                              {"adapter_mb", 40.0}}})}};
+  Json booking{{"name", "booking"}, {"max_connections", 100}};
+  if (options_.scale_max > 0) {
+    booking["autoscale"] = {
+        {"min", 1}, {"max", options_.scale_max}, {"boot_s", 2}};
+  }
   Set("op", "config",
       {{"version", version},
        {"routes", routes},
-       {"services",
-        Json::array({{{"name", "chat"},
-                      {"max_connections", 100},
-                      {"cold_per_s", 20.0},
-                      {"engine", engine}},
-                     {{"name", "booking"}, {"max_connections", 100}}})},
+       {"services", Json::array({{{"name", "chat"},
+                                  {"max_connections", 100},
+                                  {"cold_per_s", 20.0},
+                                  {"engine", engine}},
+                                 booking})},
        {"tenants", Json::array({{{"name", "marsu"},
                                  {"api_keys", keys},
                                  {"unit", "token_count"},
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -42,6 +42,8 @@
   // its connections come.
   bool has_host_addresses = false;
   bool has_duties = false;  // the hosts report usage
+  // Highest number of servers of booking in each zone; 0: it does not scale.
+  int scale_max = 0;
 };
 
 class Site {
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -172,7 +172,8 @@
   duties/each_window_is_reported_once
   duties/the_next_holder_sends_what_the_last_has_fixed
   duties/a_paused_holder_does_not_call_any_more
-  duties/windows_of_a_store_outage_are_reported_afterwards)
+  duties/windows_of_a_store_outage_are_reported_afterwards
+  duties/the_servers_wanted_are_asked_for)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
   add_test(NAME process.${name} COMMAND process_tests --run_test=${test})
--- a/rosemaryhook/testing/usage_windows_test.cc
+++ b/rosemaryhook/testing/usage_windows_test.cc
@@ -95,6 +95,15 @@
   BOOST_TEST(!WindowsToFix(strict, holder, kBegin + 11'000).empty());
 }
 
+// Load pattern: the network between some hosts is away for some seconds.
+BOOST_AUTO_TEST_CASE(windows_wait_for_hosts_that_are_not_heard) {
+  UsageHolder holder;
+  holder.complete_from_ms = kBegin;
+  holder.has_silent_host = true;
+  BOOST_TEST(WindowsToFix(kRules, holder, kBegin + 12'999).empty());
+  BOOST_TEST(WindowsToFix(kRules, holder, kBegin + 13'000).size() == 1);
+}
+
 // Guards against a second content of a window whose row the store has lost.
 BOOST_AUTO_TEST_CASE(windows_that_a_lost_row_may_have_fixed_are_left_alone) {
   for (int64_t fixed_at = 0; fixed_at < 5000; fixed_at += 100) {
--- a/rosemaryhook/usage_windows.cc
+++ b/rosemaryhook/usage_windows.cc
@@ -1,6 +1,7 @@
 // The holder fixes a window kFixDelayMs after its end: a run just before the
-// end is sent within a second, and once more in case of loss. It must be fixed
-// some time before the report is due, so that a slow call is in time.
+// end is sent within a second, and once more in case of loss. While a host is
+// not heard it waits longer, as the network or that host may come back. It must
+// be fixed some time before the report is due, so that a slow call is in time.
 #include "rosemaryhook/usage_windows.h"
 
 #include <algorithm>
@@ -18,8 +19,13 @@
 // its own clock: the clocks of two hosts differ by less.
 constexpr int64_t kClockDifferenceMs = 1000;
 
+// The longest time from a window's end to its fixing.
+int64_t MaxFixDelay(const UsageRules& rules) {
+  return std::max<int64_t>(rules.late_ms - kReportMs, 0);
+}
+
 int64_t FixDelay(const UsageRules& rules) {
-  return std::clamp<int64_t>(rules.late_ms - kReportMs, 0, kFixDelayMs);
+  return std::min(MaxFixDelay(rules), kFixDelayMs);
 }
 
 // Rounds down, also for times before 1970.
@@ -124,7 +130,9 @@
   const int64_t first = std::max({WindowAt(rules, holder.complete_from_ms),
                                   WindowAt(rules, true_ms - kUsageUsefulMs) + 1,
                                   holder.lost_until + 1});
-  const int64_t last = WindowAt(rules, true_ms - FixDelay(rules)) - 1;
+  const int64_t delay =
+      holder.has_silent_host ? MaxFixDelay(rules) : FixDelay(rules);
+  const int64_t last = WindowAt(rules, true_ms - delay) - 1;
   std::vector<int64_t> windows;
   for (int64_t window = first; window <= last; ++window) {
     if (!holder.decided.contains(window)) {
--- a/rosemaryhook/usage_windows.h
+++ b/rosemaryhook/usage_windows.h
@@ -122,6 +122,8 @@
   int64_t complete_from_ms = 0;
   // Windows up to this one may have been fixed by rows that the store has lost.
   int64_t lost_until = -1;
+  // A host that counts is not heard. What it has counted may still come.
+  bool has_silent_host = false;
 };
 
 // The last window that may have been fixed by `true_ms`, by any host.
