Send chains only of long prompts, and ask about all runners that may be free

Prompts without a chain, also those of hosts of the previous version, now fill the simulated memory as unknown parts; before, they did not, so cached tokens would have been overestimated during a rolling replacement. And what a host believed to be cached could exclude all other runners from its probe, so that it sent to one runner without asking how busy it was.

--- a/rosemaryhook/direct_admission.cc
+++ b/rosemaryhook/direct_admission.cc
@@ -71,7 +71,8 @@
 // Sets the chain of the prompt's parts. The last belongs to the caller or its
 // session, which may come back.
 void FindChain(DirectCall* call) {
-  if (call->service->engine.kv_capacity_tokens <= 0) {
+  if (call->service->engine.kv_capacity_tokens <= 0 ||
+      call->headers.prompt_tokens < kMinChainTokens) {
     return;
   }
   const std::string scope = call->headers.model + "/" + call->headers.adapter;
--- a/rosemaryhook/kept_prompts.cc
+++ b/rosemaryhook/kept_prompts.cc
@@ -19,6 +19,10 @@
 // memory. Below 1 for requests that were sent but did not run.
 constexpr double kMostLikely = 0.95;
 
+// Parts of unknown prompts are merged up to this size, a small part of the
+// memory, as they are evicted together.
+constexpr int64_t kMaxMergedTokens = 2000;
+
 // What running requests use is known to about this share of the memory: their
 // output is not known in advance, and reports of their ends are some ms late.
 constexpr double kRoomUncertainty = 0.2;
@@ -79,6 +83,17 @@
   kept->kept_tokens += link.tokens;
 }
 
+// Adds a prompt of which no parts are known. Successive ones are merged, which
+// keeps the list short.
+void AddUnknown(int64_t tokens, KeptPrompts* kept) {
+  if (kept->parts.empty() || kept->parts.front().hash != 0 ||
+      kept->parts.front().tokens >= kMaxMergedTokens) {
+    kept->parts.push_front({});
+  }
+  kept->parts.front().tokens += tokens;
+  kept->kept_tokens += tokens;
+}
+
 // Probability that the runner has a part cached, from the tokens of the parts
 // that were used no earlier and the room for cached parts.
 double LikelihoodAt(int64_t position, int64_t room) {
@@ -138,6 +153,9 @@
   for (auto link = prompt.chain.rbegin(); link != prompt.chain.rend(); ++link) {
     Touch(*link, prompt.adapter, kept);
   }
+  if (prompt.chain.empty()) {
+    AddUnknown(ToTokens(prompt.prompt_tokens), kept);
+  }
   kept->sent_tokens.push_front(ToTokens(prompt.prompt_tokens));
   if (kept->sent_tokens.size() > kMaxSentTokens) {
     kept->sent_tokens.pop_back();
--- a/rosemaryhook/kept_prompts.h
+++ b/rosemaryhook/kept_prompts.h
@@ -48,6 +48,10 @@
 // Bounds the bytes that a chain adds to messages.
 constexpr size_t kMaxChainLinks = 8;
 
+// Prompts with fewer tokens have no chain: at most 80 ms of reading in normal
+// operation could be saved, and most requests are such.
+constexpr double kMinChainTokens = 1000;
+
 // Adds a part to a chain for `scope`, the model and adapter; without effect
 // beyond kMaxChainLinks.
 void ExtendChain(std::string_view scope,
@@ -71,9 +75,9 @@
 constexpr size_t kMaxKeptParts = 2048;
 
 struct KeptPart {
-  uint64_t hash = 0;
+  uint64_t hash = 0;  // 0: of prompts without chains
   int64_t tokens = 0;
-  std::string adapter;  // empty for the base model
+  std::string adapter;  // empty for the base model, and if `hash` is 0
 };
 
 // An owner's simulation of the KV cache of one runner, in one lifetime of it.
@@ -95,7 +99,7 @@
 
 // A request that was sent to the runner.
 struct SentPrompt {
-  PromptChain chain;
+  PromptChain chain;  // empty if it has none, or is of an earlier version
   std::string adapter;
   double prompt_tokens = 0;  // of the whole prompt, with the parts
   int running = 0;           // requests at the runner
--- a/rosemaryhook/runner_choice.cc
+++ b/rosemaryhook/runner_choice.cc
@@ -67,7 +67,8 @@
 
 struct Candidate {
   const RunnerView* view;
-  double score;  // ms
+  double score;        // ms
+  double saved_score;  // part of it that cached tokens save
   uint64_t weight;
   bool is_resident;
   bool is_outdated;  // holds the adapter at an older version
@@ -97,6 +98,19 @@
   return score;
 }
 
+// How much later the first token is expected if nothing were cached. 0 where
+// the KV capacity of the runners is not known.
+double SavedScore(const RunnerView& view,
+                  const WantedRunner& wanted,
+                  Time now) {
+  if (wanted.prefix.chain.empty()) {
+    return 0;
+  }
+  const double cached = CachedTokens(view, wanted.prefix, now);
+  return EstimateFirstTokenMs(view, wanted.prompt_tokens) -
+         EstimateFirstTokenMs(view, TokensToRead(wanted.prompt_tokens, cached));
+}
+
 // Whether the backend server can serve such requests, now or after a pause.
 bool IsEligible(const RunnerView& view, const WantedRunner& wanted, Time now) {
   return view.entry.service == wanted.service && IsListed(view, now) &&
@@ -153,8 +167,8 @@
     }
     auto& list = now < view.health.avoid_until ? avoided : good;
     list.push_back(
-        {&view, Score(view, wanted, now), RendezvousWeight(key, id),
-         IsHeld(view, wanted),
+        {&view, Score(view, wanted, now), SavedScore(view, wanted, now),
+         RendezvousWeight(key, id), IsHeld(view, wanted),
          !IsHeld(view, wanted) && view.held.contains(wanted.adapter)});
   }
   return good.empty() ? avoided : good;
@@ -402,7 +416,10 @@
     choice.runner = holder->view;
     choice.is_resident = true;
     choice.why = "resident";
-    const double most = LowestScore(resident)->score + kExtraHomeMs;
+    // What this host believes to be cached excludes no other runner, so that
+    // the owners are asked and a hot prefix does not overload its runner.
+    const Candidate* least = LowestScore(resident);
+    const double most = least->score + least->saved_score + kExtraHomeMs;
     for (const Candidate* candidate : resident) {
       if (candidate->score <= most) {
         choice.holders.push_back(candidate->view);
--- a/rosemaryhook/testing/kept_prompts_test.cc
+++ b/rosemaryhook/testing/kept_prompts_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "rosemaryhook/peer_message.h"
+#include "rosemaryhook/runner_choice.h"
 
 namespace rosemaryhook {
 namespace {
@@ -87,6 +88,19 @@
   BOOST_TEST(runner.kept.kept_tokens <= runner.kept.capacity_tokens);
 }
 
+// Short prompts, and those of hosts of the previous version, have no chains but
+// fill the memory all the same.
+BOOST_AUTO_TEST_CASE(prompts_without_chains_make_others_give_way) {
+  Simulation runner;
+  runner.Send(kLong, 20);
+  for (int i = 0; i < 400; ++i) {
+    runner.Send({}, 21);  // 100 tokens
+  }
+  BOOST_TEST(runner.Cached(kLong, 22) == 0);
+  BOOST_TEST(runner.kept.parts.size() <= 11);
+  BOOST_TEST(runner.kept.kept_tokens <= 20'000);
+}
+
 BOOST_AUTO_TEST_CASE(an_unloaded_adapter_takes_its_prompts_with_it) {
   Simulation runner;
   runner.Send(kLong, 20, 0, 0, "m/a");
@@ -147,6 +161,74 @@
   BOOST_TEST(bytes.size() - EncodePeerMessage(message).size() <= 2 * 14 + 4);
 }
 
+RunnerViews Views() {
+  RunnerViews views;
+  for (int i = 0; i < 12; ++i) {
+    RunnerView& view = views["i" + std::to_string(i)];
+    view.entry.id = "i" + std::to_string(i);
+    view.entry.zone = i % 2 == 0 ? "z1" : "z2";
+    view.entry.slots = 12;
+    view.entry.models = {"m"};
+  }
+  return views;
+}
+
+WantedRunner WantedLong() {
+  WantedRunner wanted;
+  wanted.zone = "z1";
+  wanted.model = "m";
+  wanted.has_engine = true;
+  wanted.prompt_tokens = 9'190;
+  wanted.prefix = {"m/a p", 6'300, kLong, {}};
+  return wanted;
+}
+
+// Runners chosen at random would seldom have the prefix, and only the same ones
+// for all would be overloaded by a hot prefix.
+BOOST_AUTO_TEST_CASE(requests_with_one_prefix_ask_about_the_same_runners) {
+  const RunnerViews views = Views();
+  WantedRunner wanted = WantedLong();
+  const RunnerChoice choice = ChooseRunner(views, wanted, At(1));
+  BOOST_TEST(choice.holders.size() == views.size());
+  std::map<std::string, int> asked;
+  for (int i = 0; i < 50; ++i) {
+    const auto targets =
+        ProbeTargets(choice.holders, wanted, std::to_string(i));
+    BOOST_TEST(std::set<std::string>(targets.begin(), targets.end()).size() ==
+               kMaxProbes + 1);
+    for (const std::string& target : targets) {
+      ++asked[target];
+    }
+  }
+  const auto always = std::count_if(
+      asked.begin(), asked.end(), [](auto& item) { return item.second == 50; });
+  BOOST_TEST(always == static_cast<std::ptrdiff_t>(kMaxProbes));
+  BOOST_TEST(asked.size() > kMaxProbes + 3);
+  wanted.prefix.tokens = 800;
+  BOOST_TEST(ProbeTargets(choice.holders, wanted, "x").size() == kMaxProbes);
+}
+
+// A host that has sent the prefix to one runner would send there again without
+// asking, however long the queue of other hosts' requests.
+BOOST_AUTO_TEST_CASE(the_own_sends_exclude_no_runner) {
+  RunnerViews views = Views();
+  WantedRunner wanted = WantedLong();
+  RecordPrefix(wanted.prefix, At(1), &views["i3"]);
+  const RunnerChoice choice = ChooseRunner(views, wanted, At(1.1));
+  BOOST_TEST(choice.runner->entry.id == "i3");
+  BOOST_TEST(choice.holders.size() == views.size());
+  const std::vector<std::string> ids{"i3", "i5"};
+  BOOST_TEST(LeastDelayed(views, ids, wanted, At(1.1)) == "i3");
+  // The wait is weighed against the saving.
+  views["i3"].others = {4, 12'000};
+  BOOST_TEST(LeastDelayed(views, ids, wanted, At(1.1)) == "i5");
+  views["i3"].others = {4, 2'000};
+  BOOST_TEST(LeastDelayed(views, ids, wanted, At(1.1)) == "i3");
+  // The owner's answer outranks this host's record.
+  wanted.prefix.cached["i3"] = 0;
+  BOOST_TEST(LeastDelayed(views, ids, wanted, At(1.1)) == "i5");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
