--- a/review/deployment.cc
+++ b/review/deployment.cc
@@ -242,7 +242,8 @@
       {"bounds.retry_budget_ratio", "0.2"},
       {"bounds.budget_slack", "56"},
       {"bounds.budget_window_s", "10"},
-      {"bounds.quota_window_s", "8"}};
+      {"bounds.quota_window_s", "8"},
+      {"limits.cpu_share", "0.5"}};
   for (const auto& [name, value] : values) {
     ReplaceAll("{{" + name + "}}", value, &text);
   }
--- a/rosemaryhook/testing/settings_test.cc
+++ b/rosemaryhook/testing/settings_test.cc
@@ -82,6 +82,9 @@
       {"repeat_share: -0.5", true},
       {"repeat_share:", false},
       {"repeat_reserve: 2000000", true},
+      {"processor_share: 0", true},
+      {"processor_share: 0.09", false},
+      {"processor_share:", false},
   };
   for (const auto& [line, is_adjusted] : cases) {
     const auto parsed = ParseSettings(kRequiredFields + line + "\n", "f");
@@ -91,6 +94,7 @@
       BOOST_TEST(Millis(settings->heartbeat) >= 500, line);
       BOOST_TEST(Millis(settings->heartbeat) <= 10'000, line);
       BOOST_TEST(settings->repeats.share >= 0, line);
+      BOOST_TEST(settings->processor_share > 0, line);
     }
   }
   // What is no number is an error still.
