--- a/rosemaryhook/testing/place_queue_test.cc
+++ b/rosemaryhook/testing/place_queue_test.cc
@@ -181,7 +181,7 @@
   bool IsDrawn(double share) {
     return std::uniform_real_distribution<>(0, 1)(random_) < share;
   }
-  void Message(int coordinator, std::function<void()> run) {
+  void Message(int coordinator, const std::function<void()>& run) {
     const Time from =
         IsDown(coordinator) ? At(test_.coordinator_resumes) : now_;
     for (int i = IsDrawn(test_.doubled) ? 2 : 1; i > 0; --i) {
