Follow a rise of demand within a second

When popularity shifted, the new most used adapter queued some 100 requests at its only runner for seconds, as the demand over 5 s rose too slowly for copies. Demand for copies is now taken over 1 s.

--- a/rosemaryhook/adapter_demand.cc
+++ b/rosemaryhook/adapter_demand.cc
@@ -17,6 +17,10 @@
 constexpr Duration kSteadyAgeing = std::chrono::seconds(20);
 static_assert(kOneSteadyRequest == 1.0 / 20);
 
+// An adapter that becomes popular within a second must get its copies before
+// hundreds of requests queue at its only runner.
+constexpr Duration kRecentAgeing = std::chrono::milliseconds(1000);
+
 // Weight of the newest request in the mean excess of delay. A single long
 // prompt delays a few requests and is gone before a copy is loaded.
 constexpr double kExcessSmoothing = 0.1;
@@ -51,7 +55,8 @@
   AdapterDemand::Rate& rate = demand->rates[adapter];
   rate = {
       RateAt(rate, now) + prompt_tokens / SecondsOf(kAgeing), now,
-      rate.recent_per_s * Decay(rate, kAgeing, now) + 1 / SecondsOf(kAgeing),
+      rate.recent_per_s * Decay(rate, kRecentAgeing, now) +
+          1 / SecondsOf(kRecentAgeing),
       rate.steady_per_s * Decay(rate, kSteadyAgeing, now) + kOneSteadyRequest,
       rate.excess_ms};
 }
@@ -69,7 +74,8 @@
   const auto rate = demand.rates.find(adapter);
   return rate == demand.rates.end()
              ? 0
-             : rate->second.recent_per_s * Decay(rate->second, kAgeing, now);
+             : rate->second.recent_per_s *
+                   Decay(rate->second, kRecentAgeing, now);
 }
 
 double SteadyRequests(const AdapterDemand& demand,
--- a/rosemaryhook/adapter_demand.h
+++ b/rosemaryhook/adapter_demand.h
@@ -34,9 +34,9 @@
   struct Rate {
     double tokens_per_s = 0;  // at `at`; decays exponentially
     Time at;
-    // Requests, over the time of `tokens_per_s` and over a longer one. The
-    // latter tells adapters in steady use from those requested once, also where
-    // an adapter is used once in some ten seconds.
+    // Requests, over a shorter time than `tokens_per_s` and over a longer one.
+    // The latter tells adapters in steady use from those requested once, also
+    // where an adapter is used once in some ten seconds.
     double recent_per_s = 0;
     double steady_per_s = 0;
     // Mean delay of the recent requests above that at the least busy runner
@@ -59,8 +59,8 @@
                 const std::string& adapter,
                 Time now);
 
-// Requests a second for `adapter`, over some seconds and over some tens of
-// seconds.
+// Requests a second for `adapter`, over the last second or two and over some
+// tens of seconds.
 double RecentRequests(const AdapterDemand& demand,
                       const std::string& adapter,
                       Time now);
