--- a/rosemaryhook/runner_model.cc
+++ b/rosemaryhook/runner_model.cc
@@ -179,6 +179,7 @@
     const std::vector<WeightedObservation>& observations,
     const RunnerModel& model) {
   std::vector<Sample> ratios;
+  ratios.reserve(observations.size());
   for (const auto& [item, weight] : observations) {
     ratios.push_back({item->observed_ms / ExpectedMs(*item, model), weight});
   }
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -20,7 +20,7 @@
  "services":[{"name":"chat","max_connections":620,"cold_per_s":21.0,
   "engine":{"slots":128,"models":[{"name":"m","weight_size":34300.0,
    "adapters":3000,"adapter_mb":40.0}],"weight_size":35600.0,
-   "adapter_slots":16,"loads_per_s":5.1}},{"name":"book"}],
+   "adapter_slots":16,"loads_per_s":5.1,"kv_capacity_tokens":174609}},{"name":"book"}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
   "header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"marsu","api_keys":["k1","k2"],"priority":1,
@@ -59,7 +59,9 @@
   const ServiceRule& chat = deployment.services.at("chat");
   BOOST_TEST(chat.has_engine);
   BOOST_TEST(MaxAdapterSlots(chat.engine) == 16);
+  BOOST_TEST(chat.engine.kv_capacity_tokens == 174'609);
   BOOST_TEST(!deployment.services.at("book").has_engine);
+  BOOST_TEST(deployment.services.at("book").engine.kv_capacity_tokens == 0);
   const CustomerRule& customer = deployment.customers.at("marsu");
   BOOST_TEST(customer.counts_tokens);
   BOOST_TEST(customer.default_cost == 200);
