Test the forwarding of messages over sockets

Envelopes that arrive twice, late, cut at each byte, nested or from the own zone; the second relay forwards only what the first did not.

--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -9,7 +9,7 @@
   runner_ownership_leaving send_pause server_path send_rate settings statements store_era
   sheet silent_connections stream_stalls suspects thundering_herd token_limits
   token_limits_restart token_record named_limit task request_framing
-  stream_recorders stream_versions zone_relays)
+  stream_recorders stream_versions zone_relays relayed_messages)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
