--- a/rosemaryhook/place_queue.cc
+++ b/rosemaryhook/place_queue.cc
@@ -294,7 +294,7 @@
     decisions.push_back({entry->first,
                          request.address,
                          {PlaceAnswerKind::kRefused, "", 0, wait}});
-    queue->ended[entry->first] = now;
+    // Not kept as ended: if this answer is lost, the repeated ask gets one.
     queue->waiting.erase(entry);
   }
   return decisions;
--- a/rosemaryhook/testing/place_queue_test.cc
+++ b/rosemaryhook/testing/place_queue_test.cc
@@ -482,6 +482,8 @@
   const auto hopeless = RefuseHopeless(At(1), &queue);
   BOOST_REQUIRE(hopeless.size() == 1);
   BOOST_TEST(hopeless[0].key.id == 3);
+  // The answer may have been lost.
+  BOOST_TEST(AskPlace({"a", 3}, request, At(1), &queue).has_value());
 }
 
 // Guards against a coordinator on a host with little processor time, and
