Test the duties with a restored store, and count their store calls

Cause: nothing showed that a window whose row the store has lost is not fixed with another content, nor what the duties cost at the store.

Change: a process test of a restored store with the holder killed after it; the stand-in counts calls to the tables of the duties, with a bound of one a second and one for each window. The check is unchanged.

--- a/rosemaryhook/direct_duties.cc
+++ b/rosemaryhook/direct_duties.cc
@@ -175,6 +175,7 @@
   }
   std::sort(ranked.rbegin(), ranked.rend());
   std::vector<std::string> sessions;
+  sessions.reserve(ranked.size());
   for (const auto& [weight, session] : ranked) {
     sessions.push_back(session);
   }
--- a/rosemaryhook/testing/duties_process_test.cc
+++ b/rosemaryhook/testing/duties_process_test.cc
@@ -146,11 +146,18 @@
   BOOST_TEST(duties.AwaitReport(0));
   const int64_t from = WallMillis();
   duties.site.Fault({{"duty_busy", 3}});
+  const Json before = duties.site.Ledger();
   SleepSeconds(35);
   int due = 0;
   const int reported = duties.Reported(from, &due);
   BOOST_TEST(due >= 3);
   BOOST_TEST(reported == due);
+  // Calls to the store are priced: a read a second and a write for each window.
+  const Json after = duties.site.Ledger();
+  const int64_t store_calls = after["duty_store_calls"].get<int64_t>() -
+                              before["duty_store_calls"].get<int64_t>();
+  BOOST_TEST_MESSAGE("store calls in 35 s: " << store_calls);
+  BOOST_TEST(store_calls <= 35 + 8 + 2);
   std::map<int64_t, int> accepted;
   const Json calls = duties.site.Ledger()["duties"];
   for (const Json& call : calls) {
@@ -229,10 +236,32 @@
   duties.CheckRules();
 }
 
+// Guards against a second content of a window whose row the store has lost.
+BOOST_AUTO_TEST_CASE(a_restored_store_brings_no_second_content) {
+  DutySite duties(28600);
+  BOOST_TEST(duties.AwaitReport(0));
+  duties.site.Fault({{"copy_store", true}});
+  SleepSeconds(11);  // two windows are fixed
+  duties.site.Fault({{"restore_store", true}});
+  const int64_t restored = WallMillis();
+  const int holder = duties.Holder();
+  SleepSeconds(1);
+  // The next holder does not know what the last has fixed.
+  duties.is_paused[holder] = true;
+  duties.site.Kill(duties.site.host(holder));
+  SleepSeconds(40);
+  BOOST_TEST(duties.Holder() != holder);
+  int due = 0;
+  const int reported = duties.Reported(restored + 4 * kWindowMs, &due);
+  BOOST_TEST(due >= 1);
+  BOOST_TEST(reported == due);
+  duties.CheckRules();
+}
+
 // Guards against a count that is not sent, or sent again and again, and against
 // a new holder that begins with another one.
 BOOST_AUTO_TEST_CASE(the_servers_wanted_are_asked_for) {
-  // 17 requests run at two servers with 8 slots, or wait for them.
+  // 16 requests run at two servers with 8 slots, or wait for them.
   DutySite duties(28500, 300, 4);
   const auto counts_of = [&](const std::string& zone) {
     std::vector<int> counts;
@@ -244,13 +273,18 @@
     }
     return counts;
   };
+  BOOST_TEST(Await(30, [&] { return duties.Holder() >= 0; }));
+  const int holder = duties.Holder();
+  // The work stays when the holder is killed.
+  duties.is_paused[holder] = true;
   std::atomic<bool> is_ended = false;
   std::vector<std::thread> callers;
   for (int i = 0; i < 14; ++i) {
     callers.emplace_back([&, i] {
+      const int host = (holder + 1 + i % (kHosts - 1)) % kHosts;
       for (int n = 0; !is_ended; ++n) {
         const std::string id = fmt::format("more-{}-{}", i, n);
-        if (duties.site.Book(i % kHosts, id).status != 200) {
+        if (duties.site.Book(host, id).status != 200) {
           std::this_thread::sleep_for(std::chrono::milliseconds(50));
         }
       }
@@ -266,8 +300,6 @@
   BOOST_TEST(counts.back() >= 2);
   BOOST_TEST(counts.back() <= 4);
   const size_t before = counts.size();
-  const int holder = duties.Holder();
-  duties.is_paused[holder] = true;
   duties.site.Kill(duties.site.host(holder));
   BOOST_TEST(Await(30, [&] { return counts_of("zone-0").size() > before; }));
   BOOST_TEST(duties.Holder() != holder);
--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -101,6 +101,7 @@
   Json duties = Json::array();  // calls to the API for duties
   Json broken_rules = Json::array();
   std::map<std::string, std::map<std::string, int64_t>> usage;  // by window
+  int64_t duty_store_calls = 0;  // to the tables of the duties
   int64_t window_ms = 5000;
   int64_t lease_ms = 3000;
   Duration service_time;       // of a request on a plain backend server
@@ -261,11 +262,17 @@
   for (const auto& backend : site.backends) {
     peak_adapters[backend->id] = backend->peak_adapters;
   }
-  return {{"runs", site.runs},          {"customers", site.customers},
-          {"orders", site.orders},      {"crashing", site.crashing},
-          {"most_held", peak_adapters}, {"leaks", site.leaked_headers},
-          {"software", site.software},  {"duties", site.duties},
-          {"usage", site.usage},        {"broken_rules", site.broken_rules}};
+  return {{"runs", site.runs},
+          {"customers", site.customers},
+          {"orders", site.orders},
+          {"crashing", site.crashing},
+          {"most_held", peak_adapters},
+          {"leaks", site.leaked_headers},
+          {"software", site.software},
+          {"duties", site.duties},
+          {"duty_store_calls", site.duty_store_calls},
+          {"usage", site.usage},
+          {"broken_rules", site.broken_rules}};
 }
 
 Backend* FindBackend(Site* site, const std::string& id) {
@@ -360,6 +367,13 @@
   }
   co_await Sleep(
       std::chrono::milliseconds(site->faults.Number("store_slow_ms")));
+  for (const char* table : {"table=duties", "table=usage",
+                            "\"table\":\"duties\"", "\"table\":\"usage\""}) {
+    if (request.target.find(table) != std::string::npos ||
+        request.body.find(table) != std::string::npos) {
+      ++site->duty_store_calls;
+    }
+  }
   const bool is_refused =
       request.target.find("table=versions") != std::string::npos &&
       site->faults.ConsumeOne("refused_version_reads");
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -173,6 +173,7 @@
   duties/the_next_holder_sends_what_the_last_has_fixed
   duties/a_paused_holder_does_not_call_any_more
   duties/windows_of_a_store_outage_are_reported_afterwards
+  duties/a_restored_store_brings_no_second_content
   duties/the_servers_wanted_are_asked_for)
 foreach(test ${PROCESS_TESTS})
   string(REPLACE "/" "." name ${test})
