Let windows wait at most 8 s for a host that is not heard

Cause: for 12 s after a crash, windows were fixed 2 s before they are due, which leaves time for one failed call. The test of a restored store could not fail, as both hosts count the same.

Change: the wait ends 8 s after the host's last message. The test checks that no other host reports a window of before the restore.

Result: the test fails with the rule of lost rows removed (2 windows reported again) and passes with it; duties/the_next_holder and a_paused_holder pass.

--- a/rosemaryhook/direct_duties.cc
+++ b/rosemaryhook/direct_duties.cc
@@ -74,8 +74,9 @@
 // takeover delays reports by seconds.
 constexpr Duration kRegainTime = std::chrono::milliseconds(1500);
 
-// A host that was not heard for this long has ended.
-constexpr Duration kLostHostTimeout = std::chrono::seconds(12);
+// A host that was not heard for this long has probably ended. Windows do not
+// wait for it, as later reports have less time for a call that fails.
+constexpr Duration kLostHostTimeout = std::chrono::seconds(8);
 
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(700);
 constexpr Duration kDutyTick = std::chrono::milliseconds(100);
--- a/rosemaryhook/testing/duties_process_test.cc
+++ b/rosemaryhook/testing/duties_process_test.cc
@@ -255,6 +255,14 @@
   const int reported = duties.Reported(restored + 4 * kWindowMs, &due);
   BOOST_TEST(due >= 1);
   BOOST_TEST(reported == due);
+  // Here both would find the same counts, so the rules alone do not show it.
+  const Json calls = duties.site.Ledger()["duties"];
+  for (const Json& call : calls) {
+    const int64_t end = (call["body"]["window"].get<int64_t>() + 1) * kWindowMs;
+    BOOST_TEST((call["holder"] == fmt::format("entry-{}", holder) ||
+                end + 2500 > restored),
+               call.dump());
+  }
   duties.CheckRules();
 }
 
@@ -279,6 +287,7 @@
   duties.is_paused[holder] = true;
   std::atomic<bool> is_ended = false;
   std::vector<std::thread> callers;
+  callers.reserve(14);
   for (int i = 0; i < 14; ++i) {
     callers.emplace_back([&, i] {
       const int host = (holder + 1 + i % (kHosts - 1)) % kHosts;
--- a/rosemaryhook/time.h
+++ b/rosemaryhook/time.h
@@ -30,8 +30,8 @@
 // The current time of the boot clock (CLOCK_BOOTTIME).
 Time Now();
 
-// Milliseconds since the Unix epoch by the wall clock, which may be set. For log
-// lines and for the median over hosts in usage_windows.h.
+// Milliseconds since the Unix epoch by the wall clock, which may be set. For
+// log lines and for the median over hosts in usage_windows.h.
 int64_t WallMillis();
 
 // Whole milliseconds in `d`, rounded down.
