--- a/rosemaryhook/testing/adapter_plan_test.cc
+++ b/rosemaryhook/testing/adapter_plan_test.cc
@@ -358,6 +358,75 @@
   BOOST_TEST(NextPlanStep(At(1.1), &both)->adapter == "m/b");
 }
 
+AdapterPlan WeighingPlan(int adapter_slots) {
+  AdapterPlan plan = KnownPlan(adapter_slots);
+  plan.weighs_loads = true;
+  return plan;
+}
+
+// Guards against copies that evict an adapter that is needed a little later,
+// and against copies ordered by an owner that does not know the demand yet.
+BOOST_AUTO_TEST_CASE(a_copy_is_weighed_against_the_adapter_that_it_evicts) {
+  AdapterPlan plan = WeighingPlan(1);
+  plan.adapters["m/a"] = {SlotPhase::kHeld, 1, At(0)};
+  for (int i = 0; i < 60; ++i) {
+    RecordDemand("m/a", 600, At(10 + 0.33 * i), &plan.demand);
+  }
+  const CopyOffer offer{4, 200};
+  BOOST_TEST(RecordCopyWanted("m/copy", 0, {8, 900}, At(31), &plan));
+  BOOST_TEST(NextPlanStep(At(31), &plan)->adapter == "m/a");
+  plan.adapters["m/a"] = {SlotPhase::kHeld, 1, At(0)};
+  plan.waiting.clear();
+  BOOST_TEST(!RecordCopyWanted("m/copy", 0, offer, At(31), &plan));
+  // Another runner holds the adapter too, so it is needed less here.
+  plan.held_elsewhere = {"m/a"};
+  plan.previously_held["m/copy"] = At(0);
+  BOOST_TEST(RecordCopyWanted("m/copy", 0, offer, At(31), &plan));
+  plan.copies_from = At(32);
+  BOOST_TEST(!RecordCopyWanted("m/other", 0, {8, 900}, At(31), &plan));
+}
+
+// Guards against fetches that delay loads from memory, which take a tenth of
+// the time.
+BOOST_AUTO_TEST_CASE(a_load_from_memory_precedes_a_fetch) {
+  AdapterPlan plan = WeighingPlan(4);
+  plan.previously_held["m/warm"] = At(0);
+  RecordWanted("m/cold", 0, At(3), At(1), &plan);
+  RecordWanted("m/warm", 0, At(3), At(1.1), &plan);
+  BOOST_TEST(NextPlanStep(At(1.1), &plan)->adapter == "m/warm");
+}
+
+// Guards against loads for requests that have gone: they evicted adapters.
+BOOST_AUTO_TEST_CASE(a_load_that_no_request_waits_for_is_dropped) {
+  AdapterPlan plan = WeighingPlan(1);
+  plan.adapters["m/a"] = {SlotPhase::kHeld, 1, At(0)};
+  RecordUsed("m/a", At(1), &plan);
+  RecordWanted("m/b", 0, At(9), At(1), &plan);
+  BOOST_TEST(!NextPlanStep(At(1.1), &plan).has_value());
+  BOOST_TEST(!NextPlanStep(At(1.7), &plan).has_value());
+  BOOST_TEST(plan.waiting.empty());
+}
+
+// An adapter in steady use is not evicted by one that is requested once and
+// late; one that is used as rarely is.
+BOOST_AUTO_TEST_CASE(a_late_load_spares_adapters_in_steady_use) {
+  AdapterPlan plan = WeighingPlan(1);
+  plan.adapters["m/a"] = {SlotPhase::kHeld, 1, At(0)};
+  for (int i = 0; i < 40; ++i) {
+    RecordDemand("m/a", 600, At(i), &plan.demand);
+  }
+  RecordWanted("m/b", 0, Time(), At(41), &plan);
+  BOOST_TEST(!NextPlanStep(At(41), &plan).has_value());
+  RecordWanted("m/b", 0, At(43), At(41), &plan);
+  BOOST_TEST(NextPlanStep(At(41), &plan)->adapter == "m/a");
+
+  AdapterPlan rare = WeighingPlan(1);
+  rare.adapters["m/a"] = {SlotPhase::kHeld, 1, At(0)};
+  RecordDemand("m/a", 600, At(1), &rare.demand);
+  RecordWanted("m/b", 0, Time(), At(2), &rare);
+  BOOST_TEST(NextPlanStep(At(2), &rare)->adapter == "m/a");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/direct_state_test.cc
+++ b/rosemaryhook/testing/direct_state_test.cc
@@ -272,6 +272,25 @@
   BOOST_TEST(!request.is_copy);
 }
 
+// Guards against a copy that is weighed without its demand, and against a field
+// that hosts of the previous version cannot read: they read six values.
+BOOST_AUTO_TEST_CASE(load_requests_carry_the_demand_of_a_copy) {
+  PeerMessage message = From("a", 1);
+  message.load_requests.push_back({"i-1", "m/a", 2, false, true});
+  message.load_requests.push_back({"i-1", "m/b", 2, false, true});
+  message.load_requests[1].offer = {4.5, 120};
+  const std::string bytes = EncodePeerMessage(message);
+  const Json json = Json::from_cbor(bytes);
+  BOOST_TEST(json["w"][0].size() == 6);
+  BOOST_TEST(json["w"][1].size() == 8);
+  const auto decoded = ParsePeerMessage(bytes);
+  BOOST_REQUIRE(Failure(decoded) == nullptr);
+  const PeerMessage& read = std::get<PeerMessage>(decoded);
+  BOOST_TEST(read.load_requests[0].offer.requests_per_s == 0);
+  BOOST_TEST(read.load_requests[1].offer.requests_per_s == 4.5);
+  BOOST_TEST(read.load_requests[1].offer.saved_ms == 120);
+}
+
 // A host that requests an adapter which is already usable gets a reply at once,
 // although nothing changes that would be broadcast.
 BOOST_AUTO_TEST_CASE(a_request_for_a_usable_adapter_is_answered_at_once) {
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -59,6 +59,8 @@
   const ServiceRule& chat = deployment.services.at("chat");
   BOOST_TEST(chat.has_engine);
   BOOST_TEST(MaxAdapterSlots(chat.engine) == 16);
+  BOOST_TEST(HasScarceAdapterSlots(chat.engine, 187));
+  BOOST_TEST(!HasScarceAdapterSlots(chat.engine, 188));
   BOOST_TEST(!deployment.services.at("book").has_engine);
   const CustomerRule& customer = deployment.customers.at("marsu");
   BOOST_TEST(customer.counts_tokens);
--- a/rosemaryhook/testing/runner_choice_test.cc
+++ b/rosemaryhook/testing/runner_choice_test.cc
@@ -141,6 +141,41 @@
   BOOST_TEST(ChooseRunner(views, Wanted("m/a"), At(1)).copy_to != nullptr);
 }
 
+// Guards against copies for the delay that one of many hosts sees at one
+// moment: these evicted adapters in use.
+BOOST_AUTO_TEST_CASE(where_slots_are_scarce_owners_offer_the_copies) {
+  RunnerViews views = Views(6);
+  views["i0"].held["m/a"] = 1;
+  views["i0"].own.prompt_tokens = 10'000;
+  WantedRunner wanted = Wanted("m/a");
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).copy_to != nullptr);
+  wanted.has_scarce_slots = true;
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).copy_to == nullptr);
+  const double excess = ExcessDelayMs(views, wanted, "i0", At(1));
+  BOOST_TEST(excess > 200);
+  BOOST_TEST(ExcessDelayMs(views, wanted, "i1", At(1)) == 0);
+  BOOST_TEST(ChooseOfferedCopies(views, wanted, {3, excess}, At(1)).size() ==
+             1);
+  const auto targets = ChooseOfferedCopies(views, wanted, {14, excess}, At(1));
+  BOOST_TEST(targets.size() == 3);
+  BOOST_TEST(std::count(targets.begin(), targets.end(), "i0") == 0);
+  BOOST_TEST(ChooseOfferedCopies(views, wanted, {14, 0}, At(1)).empty());
+}
+
+// Guards against fetches by a second home while the first one still has the
+// adapter in memory.
+BOOST_AUTO_TEST_CASE(where_slots_are_scarce_an_adapter_keeps_its_home) {
+  RunnerViews views = Views(6);
+  WantedRunner wanted = Wanted("m/a");
+  const std::string home = ChooseRunner(views, wanted, At(1)).runner->entry.id;
+  views[home].own.prompt_tokens = 6'000;
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner->entry.id != home);
+  wanted.has_scarce_slots = true;
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner->entry.id == home);
+  views[home].own.prompt_tokens = 30'000;
+  BOOST_TEST(ChooseRunner(views, wanted, At(1)).runner->entry.id != home);
+}
+
 // Load pattern: a newer version of a popular adapter is requested.
 BOOST_AUTO_TEST_CASE(a_newer_version_is_loaded_beside_the_older_one) {
   for (int i = 0; i < 50; ++i) {
