--- a/rosemaryhook/copy_value.cc
+++ b/rosemaryhook/copy_value.cc
@@ -28,19 +28,21 @@
 constexpr double kFetchMs = 2000;
 constexpr double kWarmLoadMs = 28;
 
-// A difference in delay that no caller notices: a fifth of the shortest latency
-// objective. Estimates of two runners also differ by this without a reason.
-constexpr double kUnnoticedMs = 100;
+// A difference in delay that no caller notices: less than a third of the
+// shortest latency objective. Estimates for two runners also differ by some of
+// it without a reason.
+constexpr double kUnnoticedMs = 150;
 
 // Requests a second for one adapter that a copy should serve: half of what a
 // runner with 12 slots serves at the mean load, so that each copy leaves its
 // runner room for other adapters. Further copies are asked for above
 // kOfferAbovePerSecond, as the rate that is measured varies.
-constexpr double kCopyPerSecond = 4;
-constexpr double kOfferAbovePerSecond = 6;
+constexpr double kCopyPerSecond = 4.5;
+constexpr double kOfferAbovePerSecond = 7;
 
-// Below this rate a copy would stay unused for most of its time.
-constexpr double kMinOfferPerSecond = 1;
+// Below this rate a copy would stay unused for most of its time, and one or two
+// requests within a second look like demand.
+constexpr double kMinOfferPerSecond = 2;
 
 // A request that is late already still waits for an answer. Its adapter may
 // evict one with up to this many times its demand, not one in steady use.
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -31,6 +31,10 @@
 add_test(NAME unit.long_request_suspects
   COMMAND unit_tests --run_test=long_request_suspects)
 
+# In adapter_load_replay_test.cc.
+add_test(NAME unit.adapter_load_fetches
+  COMMAND unit_tests --run_test=adapter_load_fetches)
+
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES
