--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -61,6 +61,8 @@
   BOOST_TEST(chat.has_engine);
   BOOST_TEST(MaxAdapterSlots(chat.engine) == 16);
   BOOST_TEST(chat.engine.kv_capacity_tokens == 174'609);
+  BOOST_TEST(HasScarceAdapterSlots(chat.engine, 187));
+  BOOST_TEST(!HasScarceAdapterSlots(chat.engine, 188));
   BOOST_TEST(!deployment.services.at("book").has_engine);
   BOOST_TEST(deployment.services.at("book").engine.kv_capacity_tokens == 0);
   const CustomerRule& customer = deployment.customers.at("marsu");
