Settle the speeds of runners at each host, from what owners have fitted

A fit that hardly differed from the service was reported as the service's value, so the median of these never changed: the replay stayed at a reading speed a quarter above the engines'. Owners now report what they have fitted, and each host uses the median of the service for runners within a fifth of it.

--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -106,17 +106,19 @@
          std::get<RunnerEntry>(entry).start_ms < known->second.entry.start_ms;
 }
 
-// The learned values of the runner that was at the address of `entry` before: a
+// Takes the learned values of the runner that was at the same address before: a
 // restarted runner has a new id, but mostly the same machine.
-RunnerModel EarlierModel(const RunnerEntry& entry, const DirectDaemon& daemon) {
-  for (const auto& [id, view] : daemon.runners) {
-    if (view.entry.address == entry.address &&
-        view.entry.service == entry.service &&
-        view.model.source == ModelSource::kRunner) {
-      return view.model;
+void CopyEarlierModel(const RunnerEntry& entry,
+                      const DirectDaemon& daemon,
+                      RunnerView* view) {
+  for (const auto& [id, earlier] : daemon.runners) {
+    if (earlier.entry.address == entry.address &&
+        earlier.entry.service == entry.service &&
+        earlier.fitted.source == ModelSource::kRunner) {
+      view->fitted = earlier.fitted;
+      view->model = earlier.model;
     }
   }
-  return RunnerModel();
 }
 
 void ReplaceRunner(RunnerEntry entry, Time now, DirectDaemon* daemon) {
@@ -138,7 +140,7 @@
     new_view.own_adapters = std::move(view.own_adapters);
     // An older list may show again a lifetime that has said that it leaves.
     new_view.leaving_starts_ms = std::move(view.leaving_starts_ms);
-    new_view.model = EarlierModel(entry, *daemon);
+    CopyEarlierModel(entry, *daemon, &new_view);
     view = std::move(new_view);
     ResetOwnedRunner(entry.id, daemon);
   } else if (entry.is_leaving && !view.entry.is_leaving) {
--- a/rosemaryhook/direct_orders.cc
+++ b/rosemaryhook/direct_orders.cc
@@ -369,7 +369,7 @@
     auto owned = std::make_shared<OwnedRunner>(daemon->io.get_executor());
     UpdateAdapterSlots(*daemon, runner, owned.get());
     owned->kept_prompts.began = Now();
-    owned->observed.earlier = view->model;
+    owned->observed.earlier = view->fitted;
     // Until its first report, requests may use the adapters in its list entry.
     for (const auto& [adapter, version] : view->entry.adapters) {
       owned->plan.adapters[adapter] = {SlotPhase::kHeld, version, Now()};
@@ -452,9 +452,11 @@
   if (owned == daemon->owned.end()) {
     return false;
   }
-  RecordKept({sent.chain, sent.adapter, sent.prompt_tokens,
-              TotalLoad(daemon->runners[sent.runner]).running, sent.sent_at},
-             now, &owned->second->kept_prompts);
+  if (const RunnerView* view = FindRunnerView(*daemon, sent.runner)) {
+    RecordKept({sent.chain, sent.adapter, sent.prompt_tokens,
+                TotalLoad(*view).running, sent.sent_at},
+               now, &owned->second->kept_prompts);
+  }
   if (!sent.adapter.empty()) {
     AdapterPlan& plan = owned->second->plan;
     RecordUsed(sent.adapter, now, &plan);
--- a/rosemaryhook/direct_probes.cc
+++ b/rosemaryhook/direct_probes.cc
@@ -23,11 +23,12 @@
                                       const PromptChain& chain,
                                       DirectDaemon* daemon) {
   const OwnedRunner* owned = FindOwned(runner, daemon);
-  if (owned == nullptr || chain.empty()) {
+  const auto view = daemon->runners.find(runner);
+  if (owned == nullptr || view == daemon->runners.end() || chain.empty()) {
     return std::nullopt;
   }
   return ExpectedCached(owned->kept_prompts, chain,
-                        TotalLoad(daemon->runners.at(runner)).running, Now());
+                        TotalLoad(view->second).running, Now());
 }
 
 // Returns the tokens of `chain` that are expected to be cached, by runner.
@@ -76,38 +77,33 @@
   co_return probe->cached_tokens;
 }
 
-// The values of a runner that has no answers yet, from those of its service.
+// The values of a service, from those of its runners that have any.
 RunnerModel ServiceModel(const std::string& service,
                          const DirectDaemon& daemon) {
   std::vector<RunnerModel> models;
   for (const auto& [id, view] : daemon.runners) {
     if (view.entry.service == service && view.removed_at == Time()) {
-      models.push_back(view.model);
+      models.push_back(view.fitted);
     }
   }
   return MedianModel(models);
 }
 
-// Uses `model` for the runner, and the median of its service for the runners
-// whose values are not known.
+// Records the values that the owner of a runner has fitted. They change the
+// median of the service, from which all of its runners are settled.
 void ApplyModel(const std::string& runner,
-                const RunnerModel& model,
+                const RunnerModel& fitted,
                 DirectDaemon* daemon) {
   const auto found = daemon->runners.find(runner);
   if (found == daemon->runners.end()) {
     return;
   }
-  const bool is_first = found->second.model.source != ModelSource::kRunner;
-  found->second.model = model;
-  if (!is_first) {
-    return;
-  }
+  found->second.fitted = fitted;
   const std::string& service = found->second.entry.service;
   const RunnerModel median = ServiceModel(service, *daemon);
   for (auto& [id, view] : daemon->runners) {
-    if (view.entry.service == service &&
-        view.model.source != ModelSource::kRunner) {
-      view.model = median;
+    if (view.entry.service == service) {
+      view.model = SettleModel(view.fitted, median);
     }
   }
 }
@@ -154,8 +150,8 @@
               ExpectedAtOwner(runner, message.probe.chain, daemon)) {
         answer.cached_tokens[runner] = *cached;
       }
-      if (view->second.model.source == ModelSource::kRunner) {
-        answer.models[runner] = view->second.model;
+      if (view->second.fitted.source == ModelSource::kRunner) {
+        answer.models[runner] = view->second.fitted;
       }
     }
   }
--- a/rosemaryhook/runner_choice.h
+++ b/rosemaryhook/runner_choice.h
@@ -78,7 +78,9 @@
   RunnerHealth health;
   ServerPath path;
   FirstTokenLatency first_token_latency;
-  // Learned only where the configuration of its service has a KV capacity.
+  // As its owner has fitted them, and as they are used (SettleModel). Learned
+  // only where the configuration of its service has a KV capacity.
+  RunnerModel fitted;
   RunnerModel model;
   RecentPrompts recent_prompts;
   SentPrompts sent_prompts;  // by this host, with the chains of the prompts
--- a/rosemaryhook/runner_model.cc
+++ b/rosemaryhook/runner_model.cc
@@ -183,8 +183,7 @@
   for (const auto& [item, weight] : observations) {
     ratios.push_back({item->observed_ms / ExpectedMs(*item, model), weight});
   }
-  const double slowness =
-      Settle(Estimate(std::move(ratios), 1, kRatioPriorWeight), 1);
+  const double slowness = Estimate(std::move(ratios), 1, kRatioPriorWeight);
   return {model.tokens_per_ms / slowness, model.first_token_ms * slowness,
           model.ms_per_running * slowness, model.source};
 }
@@ -248,12 +247,19 @@
     FitFirstToken(observations, prior, &model);
     FitRunning(observations, prior, &model);
   }
-  return {BoundAround(Settle(model.tokens_per_ms, prior.tokens_per_ms),
-                      service.tokens_per_ms),
-          BoundAround(Settle(model.first_token_ms, prior.first_token_ms),
-                      service.first_token_ms),
-          BoundAround(Settle(model.ms_per_running, prior.ms_per_running),
-                      service.ms_per_running),
+  return {BoundAround(model.tokens_per_ms, service.tokens_per_ms),
+          BoundAround(model.first_token_ms, service.first_token_ms),
+          BoundAround(model.ms_per_running, service.ms_per_running),
+          ModelSource::kRunner};
+}
+
+RunnerModel SettleModel(const RunnerModel& fitted, const RunnerModel& service) {
+  if (fitted.source != ModelSource::kRunner) {
+    return service;
+  }
+  return {Settle(fitted.tokens_per_ms, service.tokens_per_ms),
+          Settle(fitted.first_token_ms, service.first_token_ms),
+          Settle(fitted.ms_per_running, service.ms_per_running),
           ModelSource::kRunner};
 }
 
--- a/rosemaryhook/runner_model.h
+++ b/rosemaryhook/runner_model.h
@@ -3,8 +3,12 @@
 // At the owner of a runner:
 //
 //   RecordObservation(observation, &observed);
-//   RunnerModel service = MedianModel(models);  // of its runners
-//   RunnerModel model = FitModel(observed, service, now);
+//   RunnerModel service = MedianModel(fitted);  // of all runners of its
+//   service RunnerModel fitted = FitModel(observed, service, now);
+//
+// At each host, with the values of the owners:
+//
+//   RunnerModel model = SettleModel(fitted, service);
 //
 // Load pattern: the runners of one service differ in speed by a factor of two,
 // and each host sends a request to one of them every few seconds, too few to
@@ -78,12 +82,15 @@
                        ObservedRunner* observed);
 
 // The values of a runner. `service`: those of its service, which count as some
-// observations of it and bound it. A runner that hardly differs from it has its
-// values.
+// observations of it and bound it.
 RunnerModel FitModel(const ObservedRunner& observed,
                      const RunnerModel& service,
                      Time now);
 
+// The values to use for a runner: those of the service where it has none of its
+// own or hardly differs, so that equal runners are not told apart by chance.
+RunnerModel SettleModel(const RunnerModel& fitted, const RunnerModel& service);
+
 // What is expected of a runner whose values were `earlier` before a restart:
 // they have half their influence, as its machine is mostly the same.
 RunnerModel HalfModel(const RunnerModel& earlier, const RunnerModel& service);
--- a/rosemaryhook/testing/prompt_owner_test.cc
+++ b/rosemaryhook/testing/prompt_owner_test.cc
@@ -90,12 +90,12 @@
 BOOST_AUTO_TEST_CASE(a_restart_clears_the_simulation_but_not_the_speed) {
   ReportSend("i1", "m/a", 9'190, Chain(), &daemon);
   BOOST_TEST(Kept().kept_tokens == 9'190);
-  daemon.runners.at("i1").model = {7, 150, 8, ModelSource::kRunner};
+  daemon.runners.at("i1").fitted = {7, 150, 8, ModelSource::kRunner};
   Add("i1", 2);
   BOOST_TEST(Kept().kept_tokens == 0);
-  BOOST_TEST(daemon.runners.at("i1").model.tokens_per_ms == 7);
+  BOOST_TEST(daemon.runners.at("i1").fitted.tokens_per_ms == 7);
   Add("i2", 3);
-  BOOST_TEST(daemon.runners.at("i2").model.tokens_per_ms == 7);
+  BOOST_TEST(daemon.runners.at("i2").fitted.tokens_per_ms == 7);
 }
 
 // The observations of all hosts come together at the owner.
--- a/rosemaryhook/testing/prompt_replay_test.cc
+++ b/rosemaryhook/testing/prompt_replay_test.cc
@@ -190,12 +190,17 @@
     }
   }
 
-  void Fit(const std::string& runner, double now) {
+  std::vector<RunnerModel> Models() const {
     std::vector<RunnerModel> models;
     for (const auto& [id, model] : models_) {
       models.push_back(model);
     }
-    models_[runner] = FitModel(observed_[runner], MedianModel(models), At(now));
+    return models;
+  }
+
+  void Fit(const std::string& runner, double now) {
+    models_[runner] =
+        FitModel(observed_[runner], MedianModel(Models()), At(now));
   }
 
   PromptPrefix MakePrefix(bool is_long, int adapter, const std::string& own) {
@@ -228,10 +233,11 @@
         prefix->cached[id] = *cached;
       }
     }
+    const RunnerModel service = MedianModel(Models());
     for (auto& [id, view] : *views) {
       const auto model = models_.find(id);
       if (model != models_.end()) {
-        view.model = model->second;
+        view.model = SettleModel(model->second, service);
       }
     }
   }
--- a/rosemaryhook/testing/runner_model_test.cc
+++ b/rosemaryhook/testing/runner_model_test.cc
@@ -51,7 +51,8 @@
   for (int seed = 0; seed < 50; ++seed) {
     ObservedRunner observed;
     Answers(1, seed).Observe(64, 1, &observed);
-    const RunnerModel model = FitModel(observed, kService, At(2));
+    const RunnerModel model =
+        SettleModel(FitModel(observed, kService, At(2)), kService);
     differing += model.tokens_per_ms != kService.tokens_per_ms ? 1 : 0;
   }
   BOOST_TEST(differing <= 2);
@@ -80,6 +81,22 @@
   BOOST_TEST(model.tokens_per_ms >= 0.2 * kService.tokens_per_ms);
 }
 
+// If runners that hardly differ from the service reported its values, these
+// would never change.
+BOOST_AUTO_TEST_CASE(the_service_follows_its_runners) {
+  RunnerModel service = kService;
+  for (int round = 0; round < 10; ++round) {
+    std::vector<RunnerModel> fitted;
+    for (int seed = 0; seed < 9; ++seed) {
+      ObservedRunner observed;
+      Answers(1.15, seed).Observe(64, 1, &observed);
+      fitted.push_back(FitModel(observed, service, At(2)));
+    }
+    service = MedianModel(fitted);
+  }
+  BOOST_TEST(std::abs(service.tokens_per_ms * 1.15 / 20 - 1) < 0.07);
+}
+
 // A runner that has become slow is not judged by what it was.
 BOOST_AUTO_TEST_CASE(old_answers_count_less) {
   ObservedRunner observed;
