--- a/rosemaryhook/copy_value.cc
+++ b/rosemaryhook/copy_value.cc
@@ -23,8 +23,9 @@
 constexpr double kCopyStaySeconds = 5;
 
 // Cost of a load in ms of delay: a load from the weight store takes a part of
-// what all runners may read, and is billed, so it counts eight times its time;
-// one from memory delays the other orders to the runner.
+// what all runners may read and delays the loads that requests wait for, so it
+// counts eight times its time; one from memory delays the other orders to the
+// runner.
 constexpr double kFetchMs = 2000;
 constexpr double kWarmLoadMs = 28;
 
--- a/rosemaryhook/direct_duties.cc
+++ b/rosemaryhook/direct_duties.cc
@@ -46,8 +46,8 @@
 // by a few seconds, and one that is needed is earlier by as much.
 constexpr Duration kHolderTimeout = std::chrono::milliseconds(3000);
 
-// Interval of the holder's reads of its row. At 40 s a day these are the 40
-// calls to the store that the duties need.
+// Interval of the holder's reads of its row: one call a second to the store for
+// the whole fleet.
 constexpr Duration kHolderReadInterval = std::chrono::milliseconds(1000);
 constexpr Duration kFailedReadDelay = std::chrono::milliseconds(300);
 
--- a/rosemaryhook/direct_duties.h
+++ b/rosemaryhook/direct_duties.h
@@ -5,9 +5,9 @@
 //   CountRun(&call);  // a backend server has begun to run the call
 //   if (const int64_t fence = DutyFence(daemon, subject, now)) ... one call ...
 //
-// Load pattern: a day of 72 hosts in which the holder crashes, stalls or loses
-// its connections, while calls of two holders must be a lease apart, and calls
-// to the store are priced. See docs/design/duties.md.
+// Load pattern: many hosts, of which the holder crashes, stalls or loses its
+// connections, while calls of two holders must be a lease apart, and all hosts
+// share the calls that the store takes. See docs/design/duties.md.
 #ifndef ROSEMARYHOOK_DIRECT_DUTIES_H_
 #define ROSEMARYHOOK_DIRECT_DUTIES_H_
 
--- a/rosemaryhook/direct_loads.cc
+++ b/rosemaryhook/direct_loads.cc
@@ -23,9 +23,7 @@
 // Request slots of a runner for each of its adapter slots, up to which copies
 // are weighed by the delays of first tokens. A runner that runs more requests
 // at once slows all its streams before a request waits, which these delays do
-// not show, so copies follow the demand in tokens there. With 96 and 17 slots,
-// weighed copies reduced the requests served in time on a quiet day from 0.920
-// to 0.878.
+// not show, so copies follow the demand in tokens there.
 constexpr int kMaxRequestsPerAdapterSlot = 2;
 
 bool ShowsQueues(const EngineRule& engine) {
--- a/rosemaryhook/testing/place_queue_test.cc
+++ b/rosemaryhook/testing/place_queue_test.cc
@@ -52,7 +52,7 @@
   return AskPlace({"a", id}, Request(now), now, queue).value().kind;
 }
 
-// The peak of deployment 1.
+// The peak of 89 hosts before 7 servers of 6 slots.
 constexpr int kHosts = 89;
 constexpr int kServers = 7;
 constexpr int kSlots = 6;
@@ -513,7 +513,7 @@
   double least_in_time;  // of those of one queue
 };
 
-// The peak of deployment 1, and single failures in it.
+// The same peak with single failures.
 BOOST_AUTO_TEST_CASE(a_peak_is_served_like_by_one_queue) {
   const ReplayCase cases[] = {
       {{.name = "calm", .wave = 0}, 0.03, 0.9},
