--- a/rosemaryhook/adapter_plan.cc
+++ b/rosemaryhook/adapter_plan.cc
@@ -203,7 +203,7 @@
   }
   const std::string victim = Victim(kAny, now, plan);
   if (victim.empty()) {
-    return victim;
+    return std::string();
   }
   const SlotUse use = UseOf(victim, now, plan);
   const bool is_worth =
