--- a/rosemaryhook/testing/scale_plan_test.cc
+++ b/rosemaryhook/testing/scale_plan_test.cc
@@ -53,10 +53,8 @@
     }
     std::map<std::string, ZoneState> states;
     for (auto& [name, zone] : zones_) {
-      std::erase_if(zone.ready_at, [&](int at) {
-        zone.servers += at <= now_ ? 1 : 0;
-        return at <= now_;
-      });
+      zone.servers += static_cast<int>(
+          std::erase_if(zone.ready_at, [this](int at) { return at <= now_; }));
       ZoneState state;
       if (zone.has_power) {
         const double work = demand_(name, now_) + moved / powered;
