Weigh copies by value only where a setting asks for it

Change: the setting weighs_copies, false by default. Without it copies follow the demand in tokens, as at the base.

--- a/rosemaryhook/direct_loads.cc
+++ b/rosemaryhook/direct_loads.cc
@@ -35,7 +35,7 @@
 }  // namespace
 
 bool HasScarceSlots(const DirectDaemon& daemon, const ServiceRule& service) {
-  if (!ShowsQueues(service.engine) ||
+  if (!daemon.settings.weighs_copies || !ShowsQueues(service.engine) ||
       !HasScarceAdapterSlots(service.engine, 0)) {
     return false;  // the configuration does not say how many there are
   }
--- a/rosemaryhook/direct_loads.h
+++ b/rosemaryhook/direct_loads.h
@@ -10,7 +10,9 @@
 
 namespace rosemaryhook {
 
-// Whether more adapters are known than all runners of `service` can hold.
+// Whether the runners of `service` weigh copies and loads by value: the setting
+// asks for it, more adapters are known than all runners can hold, and queues
+// show in the delays of first tokens.
 bool HasScarceSlots(const DirectDaemon& daemon, const ServiceRule& service);
 
 // Key of the load that such requests wait for. A begun stream waits for a
--- a/rosemaryhook/settings.cc
+++ b/rosemaryhook/settings.cc
@@ -188,6 +188,11 @@
          settings->fault_injection = text == "true";
          return text == "true" || text == "false";
        }},
+      {"weighs_copies", "true or false", false,
+       [](const std::string& text, Settings* settings) {
+         settings->weighs_copies = text == "true";
+         return text == "true" || text == "false";
+       }},
       {"serving", "relay or direct", false,
        [](const std::string& text, Settings* settings) {
          const auto mode = ValueOf(kServingNames, text);
--- a/rosemaryhook/settings.h
+++ b/rosemaryhook/settings.h
@@ -44,6 +44,7 @@
   Duration heartbeat = std::chrono::seconds(2);  // interval, to the table
   Duration drain_limit = std::chrono::seconds(60);
   bool fault_injection = false;  // lets tests block links to peers
+  bool weighs_copies = false;    // of adapters by value (copy_value.h)
 
   ServingMode serving = ServingMode::kRelay;
   std::string readiness;  // ip:port for load balancer probes; kDirect only
--- a/rosemaryhook/testing/settings_test.cc
+++ b/rosemaryhook/testing/settings_test.cc
@@ -113,6 +113,7 @@
       {"processor_share: 0", true},
       {"processor_share: 0.09", false},
       {"processor_share:", false},
+      {"weighs_copies: true", false},
   };
   for (const auto& [line, is_adjusted] : cases) {
     const auto parsed = ParseSettings(kRequiredFields + line + "\n", "f");
