--- a/rosemaryhook/testing/fake_site.cc
+++ b/rosemaryhook/testing/fake_site.cc
@@ -5,7 +5,8 @@
 //
 // The store listens on the first port, backend servers on the ports after it.
 // In addition to the platform's API the store handles POST /set
-// {"table","key","value"} and POST /unset, which are the operator's writes;
+// {"table","key" or "keys","value"} and POST /unset {"table","key"}, which are
+// the operator's writes;
 // POST /fault with the faults below by name; and GET /ledger, which returns the
 // requests and orders that the backend servers received and ran.
 //
@@ -39,6 +40,7 @@
 #include <set>
 
 #include "rosemaryhook/testing/fake_server.h"
+#include "rosemaryhook/testing/row_pages.h"
 
 namespace rosemaryhook::testing {
 namespace {
@@ -164,17 +166,17 @@
   return json;
 }
 
-std::string QueryParameter(const std::string& target, const std::string& name) {
-  const size_t at = target.find(name + "=");
-  if (at == std::string::npos) {
-    return {};
-  }
-  const size_t begin = at + name.size() + 1;
-  return target.substr(begin, target.find('&', begin) - begin);
+std::string ParameterOf(const Query& query, const std::string& name) {
+  const auto found = query.find(name);
+  return found == query.end() ? std::string() : found->second;
 }
 
-Json RowsOf(const Site& site, const std::string& table, int64_t after) {
-  Json rows = Json::array();
+// The rows of a table that have changed after a version, in the order of their
+// keys; all that exist if it is 0.
+std::vector<Json> RowsAfter(const Site& site,
+                            const std::string& table,
+                            int64_t after) {
+  std::vector<Json> rows;
   const auto found = site.tables.find(table);
   if (found != site.tables.end()) {
     for (const auto& [key, row] : found->second) {
@@ -183,29 +185,20 @@
       }
     }
   }
-  return {{"rows", rows},
-          {"has_more", false},
-          {"ver", site.version},
-          {"now_ms", Millis(Now().time_since_epoch())}};
+  return rows;
 }
 
-// The rows of a table, or of the keys from `from` to `to`.
-Json RowsInRange(const Site& site, const std::string& target) {
-  Json found = RowsOf(
-      site,
-      TableOf(QueryParameter(target, "table"), QueryParameter(target, "part")),
-      0);
-  const std::string from = QueryParameter(target, "from");
-  const std::string to = QueryParameter(target, "to");
-  Json rows = Json::array();
-  for (const Json& row : found["rows"]) {
-    const std::string key = row.at("key").get<std::string>();
-    if (key >= from && (to.empty() || key < to)) {
-      rows.push_back(row);
-    }
-  }
-  found["rows"] = std::move(rows);
-  return found;
+// An answer with rows: a page of a table, or all changes.
+Json RowsAnswer(const Site& site, Json page) {
+  page["ver"] = site.version;
+  page["now_ms"] = Millis(Now().time_since_epoch());
+  return page;
+}
+
+Json RowsInRange(const Site& site, const Query& query) {
+  const std::string table =
+      TableOf(ParameterOf(query, "table"), ParameterOf(query, "part"));
+  return RowsAnswer(site, PageOfRows(RowsAfter(site, table, 0), query));
 }
 
 int64_t VersionOf(const Site& site, const Json& name) {
@@ -240,21 +233,21 @@
   return {200, {{"ver", site->version}}};
 }
 
-awaitable<void> ServeFeed(Site* site,
-                          const HttpRequest& request,
-                          HttpReply& reply) {
-  const std::string table = QueryParameter(request.target, "table");
-  const int64_t after = std::stoll(QueryParameter(request.target, "after"));
+awaitable<void> ServeFeed(Site* site, const Query& query, HttpReply& reply) {
+  const std::string table = ParameterOf(query, "table");
+  const int64_t after = std::stoll(ParameterOf(query, "after"));
   if (after < site->faults.Number("history_from") || after > site->version) {
     co_return (void) co_await SendStoreJson(*site, reply, 410, Json::object());
   }
-  const Time until = Now() + std::chrono::milliseconds(std::stoll(
-                                 QueryParameter(request.target, "wait_ms")));
-  while (RowsOf(*site, table, after)["rows"].empty() && Now() < until) {
+  const Time until = Now() + std::chrono::milliseconds(
+                                 std::stoll(ParameterOf(query, "wait_ms")));
+  while (RowsAfter(*site, table, after).empty() && Now() < until) {
     co_await Sleep(
         std::min<Duration>(until - Now(), std::chrono::milliseconds(10)));
   }
-  co_await SendStoreJson(*site, reply, 200, RowsOf(*site, table, after));
+  Json changes{{"rows", RowsAfter(*site, table, after)}, {"has_more", false}};
+  co_await SendStoreJson(*site, reply, 200,
+                         RowsAnswer(*site, std::move(changes)));
 }
 
 Json Ledger(const Site& site) {
@@ -325,7 +318,10 @@
   if (request.target == "/ledger") {
     co_await SendJson(reply, 200, Ledger(*site));
   } else if (request.target == "/set") {
-    Put(site, body.at("table"), body.at("key"), body.at("value").dump());
+    const Json one = Json::array({body.value("key", "")});
+    for (const Json& key : body.value("keys", one)) {
+      Put(site, body.at("table"), key, body.at("value").dump());
+    }
     co_await SendJson(reply, 200, Json::object());
   } else if (request.target == "/unset") {
     Put(site, body.at("table"), body.at("key"), "", true);
@@ -377,15 +373,17 @@
   const bool is_refused =
       request.target.find("table=versions") != std::string::npos &&
       site->faults.ConsumeOne("refused_version_reads");
+  const auto query = ParseQuery(request.target);
   if (site->faults.IsOn("store_down")) {
     co_await SendJson(reply, 503, Json::object());
+  } else if (!query) {
+    co_await SendStoreJson(*site, reply, 400, Json::object());
   } else if (is_refused) {
     co_await SendJson(reply, 429, Json::object());
   } else if (request.target.starts_with("/v1/rows-get")) {
-    co_await SendStoreJson(*site, reply, 200,
-                           RowsInRange(*site, request.target));
+    co_await SendStoreJson(*site, reply, 200, RowsInRange(*site, *query));
   } else if (request.target.starts_with("/v1/rows-feed")) {
-    co_await ServeFeed(site, request, reply);
+    co_await ServeFeed(site, *query, reply);
   } else if (request.target == "/v1/rows-tx") {
     auto [status, answer] = Transact(site, Json::parse(request.body));
     co_await SendStoreJson(*site, reply, status, std::move(answer));
--- a/rosemaryhook/testing/site.cc
+++ b/rosemaryhook/testing/site.cc
@@ -251,7 +251,13 @@
 void Site::Set(const std::string& table,
                const std::string& key,
                const Json& value) {
-  const Json body{{"table", table}, {"key", key}, {"value", value}};
+  SetAll(table, {key}, value);
+}
+
+void Site::SetAll(const std::string& table,
+                  const std::vector<std::string>& keys,
+                  const Json& value) {
+  const Json body{{"table", table}, {"keys", keys}, {"value", value}};
   Exchange(Address(0), "POST", "/set", {}, body.dump());
 }
 
--- a/rosemaryhook/testing/site.h
+++ b/rosemaryhook/testing/site.h
@@ -99,6 +99,9 @@
                  const std::vector<std::string>& keys,
                  int extra_routes = 0);  // "more-N", served like "look"
   void Set(const std::string& table, const std::string& key, const Json& value);
+  void SetAll(const std::string& table,
+              const std::vector<std::string>& keys,
+              const Json& value);
   void Unset(const std::string& table, const std::string& key);
 
   void Fault(const Json& fault);
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -13,12 +13,13 @@
   stream_recorders stream_versions zone_relays relayed_messages
   waiting_order place_message place_queue
   shared_services
-  scale_plan usage_windows)
+  scale_plan usage_windows store)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
 endforeach()
-list(APPEND UNIT_SOURCES rosemaryhook/testing/port_block.cc)
+list(APPEND UNIT_SOURCES rosemaryhook/testing/port_block.cc
+  rosemaryhook/testing/row_pages.cc)
 add_executable(unit_tests ${UNIT_SOURCES})
 target_link_libraries(unit_tests PRIVATE
   rosemaryhook Boost::unit_test_framework)
@@ -42,7 +43,7 @@
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES
-  path failure idempotency backend direct refused_host takeover odd_rows
+  path failure idempotency backend direct refused_host takeover odd_rows odd_names
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
@@ -107,6 +108,8 @@
   refused_host/a_long_configuration_reaches_hosts_the_store_refuses
   takeover/a_restarted_host_keeps_the_wait_after_a_takeover
   odd_rows/hosts_follow_the_lists_after_odd_entries
+  odd_names/an_odd_name_at_the_end_of_a_page_stops_no_host
+  odd_names/odd_names_in_other_tables_stop_no_host
   late_refusals/a_late_copy_without_an_id_answers_no_other_request
   late_refusals/a_late_copy_does_not_answer_the_repeat_at_its_runner
   late_refusals/a_late_copy_of_a_refused_report_answers_no_request
