--- a/rosemaryhook/testing/odd_rows_process_test.cc
+++ b/rosemaryhook/testing/odd_rows_process_test.cc
@@ -51,6 +51,9 @@
       {"i-deep", WithField(SoundEntry(address), "models", nested)},
       {"i-crlf\r\nX-Tenant: other", SoundEntry(address)},
       {"i-text", "text"},
+      {"i &+#%", SoundEntry(address)},
+      {"i+1", SoundEntry(address)},
+      {"i%31", SoundEntry(address)},
   };
   for (const auto& [id, entry] : odd) {
     site.Set("servers", id, entry);
--- a/rosemaryhook/testing/platform_codec_test.cc
+++ b/rosemaryhook/testing/platform_codec_test.cc
@@ -189,6 +189,10 @@
       {"", "10.0.0.1:80", "", false},
       {"i 1", "10.0.0.1:80", "", false},
       {"i-1\r\nX-Tenant: other", "10.0.0.1:80", "", false},
+      {"i-7f3a91c2", "10.0.0.1:80", "", true},
+      {"Zone.1_a~b", "10.0.0.1:80", "", true},
+      {"i\xc3\xa4", "10.0.0.1:80", "", false},
+      {"i&to=i", "10.0.0.1:80", "", false},
   };
   for (const Case& test : cases) {
     const std::string text = R"({"service":"s","address":")" + test.address +
@@ -197,6 +201,14 @@
     const bool is_sound = Failure(ParseRunnerEntry(test.id, text)) == nullptr;
     BOOST_TEST(is_sound == test.is_sound, test.id + text.substr(0, 120));
   }
+  for (const char c :
+       std::string("\0\t !\"#$%&'()*+,/:;<=>?@[\\]^`{|}\x7f", 32)) {
+    const std::string id = std::string("i") + c + "1";
+    const auto entry = ParseRunnerEntry(
+        id,
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready"})");
+    BOOST_TEST((Failure(entry) != nullptr), id);
+  }
   const std::string deep = nested(100'000);
   BOOST_TEST(Failure(ParseRunnerReport(R"({"sequence":1,"models":)" + deep +
                                        "}")) != nullptr);
