--- a/rosemaryhook/testing/store_test.cc
+++ b/rosemaryhook/testing/store_test.cc
@@ -106,6 +106,59 @@
   }
 }
 
+// Guards against hosts that never learn a list again because of one row that
+// cannot be read, on any of its pages.
+BOOST_AUTO_TEST_CASE(a_row_that_cannot_be_read_leaves_the_others) {
+  const std::vector<Json> odd{
+      {{"key", RowKey(2)}, {"value", "???"}, {"ver", 3}},
+      {{"key", RowKey(2)}, {"value", 7}, {"ver", 3}},
+      {{"key", RowKey(2)}, {"value", "c291bmQ="}, {"ver", "3"}},
+      {{"key", RowKey(2)}, {"value", "c291bmQ="}, {"tombstone", "no"}},
+      {{"value", "c291bmQ="}, {"ver", 3}},
+      {{"key", 7}, {"value", "c291bmQ="}, {"ver", 3}},
+      "text",
+      nullptr,
+  };
+  for (const Json& row : odd) {
+    for (const size_t at : {size_t{2}, kPageRows - 1, kRows - 1}) {
+      std::vector<Json> rows = SoundRows();
+      Json placed = row;
+      if (placed.contains("key") && placed["key"].is_string()) {
+        placed["key"] = RowKey(at);
+      }
+      rows[at] = std::move(placed);
+      // As a store that takes the rows as they are.
+      const auto read = ReadTable([&](const Query& query) {
+        const auto from = query.find("from");
+        const size_t begin =
+            from == query.end() ? 0 : std::stoul(from->second.substr(2));
+        const size_t end = std::min(begin + kPageRows, kRows);
+        return Json{{"rows", std::vector<Json>(rows.begin() + begin,
+                                               rows.begin() + end)},
+                    {"has_more", end < kRows}};
+      });
+      const Error* error = Failure(read);
+      BOOST_TEST((error == nullptr),
+                 row.dump() << ": " << (error ? error->message : ""));
+      const auto* all = std::get_if<StoreRows>(&read);
+      BOOST_TEST((all != nullptr && all->rows.size() >= kRows - 1),
+                 row.dump() << " at " << at);
+      BOOST_TEST((all != nullptr && all->rows[0].value == "sound"));
+    }
+  }
+}
+
+// Guards against a host that takes what it has read for the whole list, and so
+// drops the servers on the pages that it has not read.
+BOOST_AUTO_TEST_CASE(a_table_of_which_a_page_fails_is_not_read) {
+  const std::vector<Json> rows = SoundRows();
+  const auto read = ReadTable([&](const Query& query) {
+    return query.contains("from") ? Json{{"error", "busy"}}
+                                  : PageOfRows(rows, query);
+  });
+  BOOST_TEST((Failure(read) != nullptr));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
