End a read of a table at a page that does not go on

Callers: not seen by callers. A page that promises more but has no key after the last one was followed as it came: one without rows ended the read as if the table were complete, and one that repeats was requested up to 32 MB of rows.

Cause: the read went on with whatever key came last and did not compare it.

Change: such a page ends the read with an error that says so.

The bound on the length of a table is demanded by a_table_without_end_is_given_up, whose pages go on.

--- a/rosemaryhook/store.cc
+++ b/rosemaryhook/store.cc
@@ -96,7 +96,7 @@
     // The result has the version of the first page, so that a later read of
     // changes misses none that were made between pages.
     const int64_t era = platform::ParseStoreEra(answer.headers);
-    if (all.rows.empty()) {
+    if (from.empty()) {
       all.version = page.version;
       all.clock_ms = page.clock_ms;
       all.era = era;
@@ -105,15 +105,21 @@
       co_return Error{Step::kTable, store.address,
                       "the store was restored between two parts of a table"};
     }
+    // The next page begins with the last row of this one.
+    std::string last = page.rows.empty() ? "" : page.rows.back().key;
     for (StoreRow& row : page.rows) {
       if (row.key != from) {
         all.rows.push_back(std::move(row));
       }
     }
-    if (!page.has_more || all.rows.empty()) {
+    if (!page.has_more) {
       co_return all;
     }
-    from = all.rows.back().key;
+    if (last <= from) {
+      co_return Error{Step::kTable, store.address,
+                      "a page has no key after the last one"};
+    }
+    from = std::move(last);
   }
 }
 
--- a/rosemaryhook/testing/store_test.cc
+++ b/rosemaryhook/testing/store_test.cc
@@ -106,6 +106,29 @@
   }
 }
 
+// Guards against a read that takes a part of a table for the whole, and one
+// that goes on without end.
+BOOST_AUTO_TEST_CASE(a_page_that_does_not_go_on_ends_the_read) {
+  const auto page = [](std::vector<Json> rows) {
+    return Json{{"rows", std::move(rows)}, {"has_more", true}};
+  };
+  const std::vector<Json> none;
+  const std::vector<Json> two{RowOf("a"), RowOf("b")};
+  const std::vector<Json> back{RowOf("b"), RowOf("a")};
+  const std::vector<Json> without_keys{{{"ver", 3}}, {{"key", 7}, {"ver", 3}}};
+  for (const std::vector<Json>& rows : {none, two, back, without_keys}) {
+    int calls = 0;
+    const auto read = ReadTable([&](const Query&) {
+      ++calls;
+      return page(rows);
+    });
+    BOOST_REQUIRE(Failure(read) != nullptr);
+    BOOST_TEST(Failure(read)->message ==
+               "a page has no key after the last one");
+    BOOST_TEST(calls <= 2);
+  }
+}
+
 // Guards against hosts that never learn a list again because of one row that
 // cannot be read, on any of its pages.
 BOOST_AUTO_TEST_CASE(a_row_that_cannot_be_read_leaves_the_others) {
@@ -159,6 +182,22 @@
   BOOST_TEST((Failure(read) != nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(a_table_without_end_is_given_up) {
+  size_t next = 0;
+  const std::string value(60 << 10, 'A');
+  const auto read = ReadTable([&](const Query&) {
+    std::vector<Json> rows;
+    for (int i = 0; i < 16; ++i) {
+      rows.push_back({{"key", fmt::format("f-{:09}", next++)},
+                      {"value", value},
+                      {"ver", 3}});
+    }
+    return Json{{"rows", std::move(rows)}, {"has_more", true}};
+  });
+  BOOST_REQUIRE(Failure(read) != nullptr);
+  BOOST_TEST(Failure(read)->message == "the table is too long");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
