Take no answer for complete that was reset during the upload

Callers: got a part of an answer as a complete one. A backend server answered a long request at once with a 200 without a length, sent a part of its body, and reset the connection while the request was still being written to it.

Cause: a long request is written beside the read of its answer. A socket reports a reset once; where the write took it, its error was dropped, and the next read returned the end of the stream, at which an answer without a length is complete.

Change: an answer that ends with its connection is complete once the request has been written whole without an error. Until then the exchange waits, within its deadline; a failed write is a reset of the answer. A server that ends its side in order and reads the rest of the request is answered as before.

Short requests, an answer in order and a whole answer with a length passed before, and do. process.odd_names.odd_names_among_the_hosts_stop_no_order is kept with it; it passed before.

--- a/rosemaryhook/http.h
+++ b/rosemaryhook/http.h
@@ -331,6 +331,9 @@
   // The next head, also one with status 1xx.
   awaitable<Result<HttpHead>> ReadAnyHead();
   awaitable<Result<HttpHead>> ReadHead();
+  // Waits until the request has been written whole. An answer that ends with
+  // its connection is not complete before that.
+  awaitable<Result<Done>> AwaitUpload();
   // Reads a part of the body into `chunk` and returns its size, which may be 0.
   awaitable<Result<size_t>> ReadSome(std::string* chunk);
   void SetTimeout();
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -17,6 +17,7 @@
 #include "rosemaryhook/enum_names.h"
 #include "rosemaryhook/http.h"
 #include "rosemaryhook/log.h"
+#include "rosemaryhook/signal.h"
 
 namespace rosemaryhook {
 namespace {
@@ -161,9 +162,14 @@
 // A request that is being sent. A long body is sent while waiting for the
 // answer, since the peer may answer before it has read the body.
 struct HttpUpload {
+  explicit HttpUpload(std::shared_ptr<beast::tcp_stream> to)
+      : stream(std::move(to)), ended(stream->get_executor()) {}
+
   http::request<http::string_body> request;
   std::shared_ptr<beast::tcp_stream> stream;
-  bool is_done = false;
+  bool is_done = false;   // the request was written whole
+  bool is_ended = false;  // it was, or a write failed
+  Signal ended;
 };
 
 namespace {
@@ -171,8 +177,9 @@
 awaitable<void> Upload(std::shared_ptr<HttpUpload> upload) {
   auto [ec, n] =
       co_await http::async_write(*upload->stream, upload->request, kToTuple);
-  // A failed write is detected when reading the answer fails.
   upload->is_done = !ec;
+  upload->is_ended = true;
+  upload->ended.Notify();
 }
 
 }  // namespace
@@ -350,8 +357,7 @@
 }
 
 awaitable<Result<Done>> HttpExchange::SendRequest() {
-  upload_ = std::make_shared<HttpUpload>();
-  upload_->stream = stream_;
+  upload_ = std::make_shared<HttpUpload>(stream_);
   auto& request = upload_->request;
   request.method_string(call_.method);
   request.target(call_.target);
@@ -382,6 +388,7 @@
     co_return MakeError(Step::kSend, ec);
   }
   upload_->is_done = true;
+  upload_->is_ended = true;
   co_return Done{};
 }
 
@@ -540,9 +547,30 @@
   if (IsFramingExcessive(bytes_)) {
     co_return MakeExcessError("too many bytes besides the body");
   }
+  if (ends_with_connection() && parser_->is_done()) {
+    const auto uploaded = co_await AwaitUpload();
+    if (const Error* error = Failure(uploaded)) {
+      co_return *error;
+    }
+  }
   co_return size;
 }
 
+// A socket reports a reset once: if a write takes it, the next read returns the
+// end of the stream, as after an answer that ends in order.
+awaitable<Result<Done>> HttpExchange::AwaitUpload() {
+  while (!upload_->is_ended && Now() < call_.deadline) {
+    co_await upload_->ended.Wait(call_.deadline);
+  }
+  if (upload_->is_done) {
+    co_return Done{};
+  }
+  co_return MakeError(Step::kReceive,
+                      upload_->is_ended
+                          ? make_error_code(asio::error::connection_reset)
+                          : make_error_code(beast::error::timeout));
+}
+
 awaitable<Result<Done>> HttpExchange::SkipRest(uint64_t max_bytes, Time until) {
   const Time deadline = call_.deadline;
   call_.deadline = std::min(deadline, until);
--- a/rosemaryhook/testing/odd_names_process_test.cc
+++ b/rosemaryhook/testing/odd_names_process_test.cc
@@ -104,6 +104,20 @@
   CheckServed(&site, "restarted");
 }
 
+// Guards against hosts that take rows of another writer for hosts and wait for
+// them.
+BOOST_AUTO_TEST_CASE(odd_names_among_the_hosts_stop_no_order) {
+  Site site({.port = 32300, .hosts = kHosts});
+  for (const auto& [first, second] : OddNames()) {
+    site.SetAll("hosts", {first, second}, OtherEntry());
+  }
+  RestartHosts(&site);
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string adapter = fmt::format("a{}", i);
+    BOOST_TEST(site.Ask(i % kHosts, "ask-" + adapter, adapter).status == 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -13,7 +13,7 @@
   stream_recorders stream_versions zone_relays relayed_messages
   waiting_order place_message place_queue
   shared_services
-  scale_plan usage_windows store)
+  scale_plan usage_windows store early_answers)
 set(UNIT_SOURCES rosemaryhook/testing/unit_main.cc)
 foreach(suite ${UNIT_SUITES})
   list(APPEND UNIT_SOURCES rosemaryhook/testing/${suite}_test.cc)
@@ -110,6 +110,7 @@
   odd_rows/hosts_follow_the_lists_after_odd_entries
   odd_names/an_odd_name_at_the_end_of_a_page_stops_no_host
   odd_names/odd_names_in_other_tables_stop_no_host
+  odd_names/odd_names_among_the_hosts_stop_no_order
   late_refusals/a_late_copy_without_an_id_answers_no_other_request
   late_refusals/a_late_copy_does_not_answer_the_repeat_at_its_runner
   late_refusals/a_late_copy_of_a_refused_report_answers_no_request
