Pass a reset on through a tunnel while the request is written

Its write towards the server took the reset; where the read in the other direction ran before that error was handled, it saw the end of the stream, and the tunnel ended the host's side in order.

Change: the tunnel ends the host's side only when all that came from the host has been written to the server. A write that fails until then resets it.

Tests, before and after: process.lost_paths.an_answer_reset_during_the_upload_is_not_complete sends bookings of 4 MB to servers that answer at once and reset 0 to 20 ms later, or end in order and read on, on own paths and through tunnels, 40 of each.

--- a/rosemaryhook/testing/lost_paths_process_test.cc
+++ b/rosemaryhook/testing/lost_paths_process_test.cc
@@ -326,6 +326,55 @@
   }
 }
 
+// Guards against a part of an answer that looks complete because a write of the
+// request took the reset, at the host or at the one that it comes through.
+BOOST_AUTO_TEST_CASE(an_answer_reset_during_the_upload_is_not_complete) {
+  constexpr int kRepetitions = 10;
+  const std::string body(4 << 20, 'x');
+  const std::string part = "a part of the body";
+  CutSite cut(32400);
+  const auto early = [&](const ScriptedRequest& request) {
+    const std::string id(request["X-Attempt-Id"]);
+    ScriptedServer::Answer answer;
+    answer.resets = id.starts_with("reset-");
+    if (answer.resets || id.starts_with("end-")) {
+      cut.ledger.Add(id);
+      answer.bytes = "HTTP/1.1 200 OK\r\n" + IdHeaders(id) + "\r\n" + part;
+    }
+    return answer;
+  };
+  const auto book = [&](const std::string& id) {
+    return cut.site.Send(0, "/book/1", {{"X-Attempt-Id", id}}, body);
+  };
+  for (const bool is_tunneled : {false, true}) {
+    if (is_tunneled) {
+      cut.Cut({0}, 1, false);
+      int next = 0;
+      BOOST_REQUIRE(Await(10, [&] {
+        return cut.site.Book(0, "learn-" + std::to_string(++next)).status ==
+               200;
+      }));
+    }
+    for (const int pause_ms : {0, 1, 5, 20}) {
+      for (const auto& server : cut.servers) {
+        server->AnswerEarly(early, milliseconds(pause_ms));
+      }
+      for (int i = 0; i < kRepetitions; ++i) {
+        const std::string name = (is_tunneled ? "tunnel-" : "direct-") +
+                                 std::to_string(pause_ms) + "-" +
+                                 std::to_string(i);
+        const Reply reset = book("reset-" + name);
+        BOOST_TEST(reset.status != 200, name << ": '" << reset.body << "'");
+        BOOST_TEST(reset.status != 503, name);
+        BOOST_TEST(cut.ledger.Runs("reset-" + name) <= 1, name);
+        const Reply ended = book("end-" + name);
+        BOOST_TEST(ended.status == 200, name);
+        BOOST_TEST(ended.body == part, name);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/rosemaryhook/testing/scripted_server.cc
+++ b/rosemaryhook/testing/scripted_server.cc
@@ -62,6 +62,34 @@
   }
 }
 
+void ScriptedServer::AnswerEarly(Handler early,
+                                 std::chrono::milliseconds pause) {
+  early_ = std::move(early);
+  early_pause_ = pause;
+}
+
+bool ScriptedServer::ServeEarly(const ScriptedRequest& head,
+                                tcp::socket* socket) {
+  const Answer answer = early_ ? early_(head) : Answer();
+  if (answer.bytes.empty()) {
+    return false;
+  }
+  beast::error_code ec;
+  asio::write(*socket, asio::buffer(answer.bytes), ec);
+  std::this_thread::sleep_for(early_pause_.load());
+  if (answer.resets) {
+    socket->set_option(asio::socket_base::linger(true, 0), ec);
+    socket->close(ec);
+    return true;
+  }
+  socket->shutdown(tcp::socket::shutdown_send, ec);
+  std::string rest(64 << 10, '\0');
+  while (!ec) {
+    socket->read_some(asio::buffer(rest), ec);
+  }
+  return true;
+}
+
 void ScriptedServer::Drop(const std::vector<std::string>& sources) {
   const std::scoped_lock lock(sockets_mutex_);
   // Sockets that are accepted later inherit the filter.
@@ -106,7 +134,13 @@
   while (!ec) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(boost::none);
-    http::read(*socket, buffer, parser, ec);
+    http::read_header(*socket, buffer, parser, ec);
+    if (!ec && ServeEarly(parser.get(), socket)) {
+      return;
+    }
+    if (!ec) {
+      http::read(*socket, buffer, parser, ec);
+    }
     if (ec) {
       if (on_closed_by_caller) {
         on_closed_by_caller();
--- a/rosemaryhook/testing/scripted_server.h
+++ b/rosemaryhook/testing/scripted_server.h
@@ -53,6 +53,12 @@
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
+  // Sets how requests are answered whose bodies are not read: `early` is called
+  // with the head, and where its answer has bytes, they are written at once.
+  // The connection is then reset or ended after `pause`; the rest of the body
+  // is read only if it is ended. Set it before the first request.
+  void AnswerEarly(Handler early, std::chrono::milliseconds pause);
+
   // Drops all packets that arrive from these IPv4 addresses, as behind a silent
   // network partition.
   void Drop(const std::vector<std::string>& sources);
@@ -63,10 +69,14 @@
  private:
   void Accept();
   void Serve(tcp::socket* socket);
+  // Returns whether the request was answered early.
+  bool ServeEarly(const ScriptedRequest& head, tcp::socket* socket);
 
   asio::io_context io_;
   tcp::acceptor acceptor_;
   Handler handler_;
+  Handler early_;
+  std::atomic<std::chrono::milliseconds> early_pause_{};
   std::atomic<bool> is_ending_ = false;
   std::mutex sockets_mutex_;
   std::vector<std::shared_ptr<tcp::socket>> sockets_;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -181,6 +181,7 @@
   lost_paths/paths_that_come_and_go_run_no_request_twice
   lost_paths/only_hosts_get_tunnels_and_only_to_listed_servers
   lost_paths/an_answer_that_breaks_off_in_a_tunnel_is_not_complete
+  lost_paths/an_answer_reset_during_the_upload_is_not_complete
   brittle_servers/servers_do_not_fall_over_in_a_peak
   brittle_servers/a_host_that_has_just_started_lets_no_server_fall_over
   shared_places/servers_reject_few_requests
--- a/rosemaryhook/tunnel.cc
+++ b/rosemaryhook/tunnel.cc
@@ -76,9 +76,15 @@
     idle_timer.cancel();
   }
 
-  // Ends the host's side as the server has ended its own.
+  // Ends the host's side as the server has ended its own, once all that came
+  // from the host has been written to the server: a write that fails until then
+  // may have taken the reset of a connection whose next read returns its end.
   void EndAnswer() {
     beast::error_code ignored;
+    if (!has_server_ended || is_writing_to_server ||
+        host.available(ignored) > 0) {
+      return;
+    }
     host.set_option(asio::socket_base::linger(false, 0), ignored);
     host.shutdown(tcp::socket::shutdown_send, ignored);
   }
@@ -87,6 +93,8 @@
   tcp::socket server;
   asio::steady_timer idle_timer;
   Time active_at;
+  bool has_server_ended = false;
+  bool is_writing_to_server = false;
   size_t to_server = 0;  // bytes
   size_t to_host = 0;
 };
@@ -100,6 +108,7 @@
     auto [read_error, size] =
         co_await from.async_read_some(asio::buffer(buffer), kToTuple);
     if (read_error == asio::error::eof && !is_to_server) {
+      sides.has_server_ended = true;
       sides.EndAnswer();
       co_return;
     }
@@ -108,6 +117,7 @@
       co_return;
     }
     sides.active_at = Now();
+    sides.is_writing_to_server |= is_to_server;
     auto [write_error, written] =
         co_await asio::async_write(to, asio::buffer(buffer, size), kToTuple);
     (is_to_server ? sides.to_server : sides.to_host) += written;
@@ -115,6 +125,10 @@
       sides.Break();
       co_return;
     }
+    if (is_to_server) {
+      sides.is_writing_to_server = false;
+      sides.EndAnswer();
+    }
   }
 }
 
