Take a head with a folded line for no answer

Callers: got an answer of a backend server in trouble in whose head the name of a field began with a blank or a tab. The line came within the field before it; where it named a length or an encoding, the body was not the server's.

Cause: the parser reads such a line as a part of the value before it (RFC 9112, 5.2), which a proxy may reject in an answer.

Change: a head, also an interim one, with a line that begins with a blank or a tab is an error like any other head that is not HTTP: nothing of it is passed on, and its connection is closed.

--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -103,6 +103,12 @@
          ec == asio::error::connection_reset || ec == asio::error::broken_pipe;
 }
 
+// Whether a line of a head begins with a blank.
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
 // Whether the peer sent more than the parser may keep.
 bool IsExcess(const beast::error_code& ec) {
   return ec == http::error::buffer_overflow || ec == http::error::header_limit;
@@ -392,6 +398,11 @@
   co_return Done{};
 }
 
+// The parser takes a line that begins with a blank for a part of the value
+// before it (RFC 9112, 5.2), so that a field whose name begins with one would
+// be passed on within another field, and its length or encoding not be applied.
+// A call consumes whole fields, each with all its lines.
+//
 // The parser's own limit does not count fields that it has already parsed.
 awaitable<beast::error_code> HttpExchange::ParseHead() {
   size_t parsed = 0;
@@ -399,12 +410,17 @@
     if (buffer_.size() > 0) {
       beast::error_code ec;
       const size_t used = parser_->put(buffer_.data(), ec);
+      const bool is_folded = HasFoldedLine(
+          {static_cast<const char*>(buffer_.data().data()), used});
       buffer_.consume(used);
       bytes_.framing += used;
       parsed += used;
       if (ec && ec != http::error::need_more) {
         co_return ec;
       }
+      if (is_folded) {
+        co_return http::error::bad_obs_fold;
+      }
       const bool is_done = parser_->is_header_done();
       if (parsed + (is_done ? 0 : buffer_.size()) > kMaxHeadBytes) {
         co_return http::error::header_limit;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -43,7 +43,7 @@
 # Tests with real processes. They run in parallel, each on its own ports, and
 # each counts as two processors because it runs several processes.
 set(PROCESS_SUITES
-  path failure idempotency backend direct refused_host takeover odd_rows odd_names
+  path failure idempotency backend direct refused_host takeover odd_rows odd_names odd_heads
   late_refusals broken_streams run_once named_limits leaving_servers
   paused_servers outdated_lists restored_store planned_stop cut_heads
   joined_heads fault_proxy endless_callers ended_processes endless_answers
@@ -109,6 +109,8 @@
   takeover/a_restarted_host_keeps_the_wait_after_a_takeover
   odd_rows/hosts_follow_the_lists_after_odd_entries
   odd_names/an_odd_name_at_the_end_of_a_page_stops_no_host
+  odd_heads/an_odd_head_is_no_answer
+  odd_heads/an_odd_trailer_changes_no_answer
   odd_names/odd_names_in_other_tables_stop_no_host
   odd_names/odd_names_among_the_hosts_stop_no_order
   late_refusals/a_late_copy_without_an_id_answers_no_other_request
