Take a status above 599 for no answer

Callers: got a status that HTTP does not have (600 to 999) from a backend server in trouble, as a failure of that server.

Cause: only statuses below 200 were checked.

Change: a head with a status above 599 is an error like any other head that is not HTTP. A request that may run again goes on elsewhere; another one ends as unknown.

Tests, before and after: process.odd_heads fails 9 checks with the statuses 600, 700 and 999, and none.

--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -56,6 +56,8 @@
 // a peer that always has more to read would never let a timer end the exchange.
 constexpr Duration kLateReadTime = std::chrono::milliseconds(100);
 
+constexpr int kMaxStatus = 599;
+
 constexpr char kKeySeparator = ' ';
 
 constexpr char kBodyTooLong[] = "the body is too long";
@@ -473,15 +475,18 @@
   co_return head;
 }
 
-// Requests ask for no other protocol, so that 101 answers none of them.
+// Requests ask for no other protocol, so that 101 answers none of them. There
+// is no class of statuses above 599 (RFC 9110, 15).
 awaitable<Result<HttpHead>> HttpExchange::ReadHead() {
   for (int i = 0; i <= kMaxInterimHeads; ++i) {
     auto read = co_await ReadAnyHead();
     const auto* head = std::get_if<HttpHead>(&read);
-    if (head == nullptr || head->status >= 200) {
+    if (head == nullptr ||
+        (head->status >= 200 && head->status <= kMaxStatus)) {
       co_return read;
     }
-    if (head->status <= 101 && head->status != 100) {
+    if (head->status > kMaxStatus ||
+        (head->status <= 101 && head->status != 100)) {
       co_return Error{
           Step::kReceive, call_.address,
           "status " + std::to_string(head->status) + " answers no request"};
--- a/rosemaryhook/testing/odd_heads_process_test.cc
+++ b/rosemaryhook/testing/odd_heads_process_test.cc
@@ -97,7 +97,8 @@
   std::vector<OddHead> heads;
   for (const char* status :
        {"000", "000 OK", "001 OK", "020 OK", "099 OK", "0200 OK", "2000 OK",
-        "20 OK", "2 OK", "", "-20 OK", "+20 OK", "2x0 OK"}) {
+        "20 OK", "2 OK", "", "-20 OK", "+20 OK", "2x0 OK", "600 OK", "700 OK",
+        "999 OK"}) {
     heads.push_back({"status " + std::string(status), status, ""});
   }
   for (const std::string& line : OddLines()) {
