--- a/rosemaryhook/testing/odd_heads_process_test.cc
+++ b/rosemaryhook/testing/odd_heads_process_test.cc
@@ -20,8 +20,8 @@
 struct OddHead {
   std::string name;
   std::string status = "200 OK";
-  std::string line;         // besides the sound fields
-  std::string before = "";  // an interim head
+  std::string line;    // besides the sound fields
+  std::string before;  // an interim head
 };
 
 // A field whose name has a blank or a control byte.
@@ -131,6 +131,7 @@
         Answer(id.starts_with("odd-") ? odd : OddHead{}, place, id, is_stream)};
   };
   std::vector<std::unique_ptr<ScriptedServer>> servers;
+  servers.reserve(2);
   for (int i = 0; i < 2; ++i) {
     servers.push_back(
         std::make_unique<ScriptedServer>(site.Backend(i), handler));
--- a/rosemaryhook/testing/store_test.cc
+++ b/rosemaryhook/testing/store_test.cc
@@ -186,8 +186,10 @@
   size_t next = 0;
   const std::string value(60 << 10, 'A');
   const auto read = ReadTable([&](const Query&) {
+    constexpr int kRowsPerPage = 16;
     std::vector<Json> rows;
-    for (int i = 0; i < 16; ++i) {
+    rows.reserve(kRowsPerPage);
+    for (int i = 0; i < kRowsPerPage; ++i) {
       rows.push_back({{"key", fmt::format("f-{:09}", next++)},
                       {"value", value},
                       {"ver", 3}});
