Log how much of an incomplete answer had arrived

Of a read of the store that failed, the log had only its time and the reason, which do not tell a store that is silent from an answer that is still arriving at the time-out.

`answer_incomplete` has the bytes received and left, `slow_read` the rows and bytes that a read returned.

--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -80,24 +80,36 @@
   }
 }
 
-// Logs a read of the store or through another host that failed or took long,
-// with the time since this host learned of a change that it lacks.
+size_t ValueBytes(const StoreRows& rows) {
+  size_t bytes = 0;
+  for (const StoreRow& row : rows.rows) {
+    bytes += row.value.size();
+  }
+  return bytes;
+}
+
+// Logs a read of the store that failed or took long, with what it returned and
+// the time since this host learned of a change that it lacks.
 void LogSlowRead(const char* list,
                  const std::string& peer,
                  Duration elapsed,
-                 const std::string& reason,
+                 const ChangesOutcome& outcome,
                  const StoreContact& contact) {
-  if (reason.empty() && elapsed < kSlowReadThreshold) {
+  const auto* error = std::get_if<Error>(&outcome);
+  if (error == nullptr && elapsed < kSlowReadThreshold) {
     return;
   }
   const bool has_gap = HasGap(contact);
+  const auto* rows = std::get_if<StoreRows>(&outcome);
   Log("slow_read",
       {{"list", list},
        {"peer", peer},
        {"ms", Millis(elapsed)},
        {"known", contact.version},
        {"gap_ms", has_gap ? Millis(Now() - contact.gap_since) : -1},
-       {"why", reason}});
+       {"rows", rows == nullptr ? 0 : rows->rows.size()},
+       {"value_bytes", rows == nullptr ? 0 : ValueBytes(*rows)},
+       {"why", error == nullptr ? "" : error->message}});
 }
 
 // How one table is polled; `apply` applies the rows that a read returned.
@@ -222,8 +234,7 @@
   const auto* store_error = std::get_if<Error>(&outcome);
   const bool is_from_store = store_error == nullptr;
   LogSlowRead(polled.list_name, daemon->store.address,
-              Now() - request_time - wait,
-              is_from_store ? std::string() : store_error->message, contact);
+              Now() - request_time - wait, outcome, contact);
   if (is_from_store) {
     RecordStoreAnswer(polled.list_name, Now(), &contact);
   } else {
--- a/rosemaryhook/http_client.cc
+++ b/rosemaryhook/http_client.cc
@@ -723,6 +723,10 @@
   while (true) {
     auto chunk = co_await exchange.ReadChunk();
     if (const Error* error = Failure(chunk)) {
+      Log("answer_incomplete", {{"peer", error->peer},
+                                {"received_bytes", answer.body.size()},
+                                {"left_bytes", exchange.stated_length()},
+                                {"why", error->message}});
       co_return *error;
     }
     const std::string& data = std::get<std::string>(chunk);
