Forward long answers of the store as they arrive

What callers would see: a host that the store refuses never takes a long configuration, and answers by the old one until the store takes it back.

The host that reads in its place took the whole answer within 0.5 s before it sent the first byte, and the other one waited 0.7 s for all of it; over two links of 10 Mbit/s, 381 KB take 0.8 s.

Change: the forwarding host passes the body on as it arrives, for as long as it does, 4 s at most. If the store's answer breaks off, the connection is closed, so that the part does not look complete. A host that lacks a change of the operators' table asks another one for the table at once, as the changes are probably too long; if that fails, it goes on from the version it had.

--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -258,7 +258,8 @@
 awaitable<bool> ReadOnce(DirectDaemonPtr daemon, const PolledTable& polled) {
   StoreContact& contact = (*daemon).*polled.contact;
   const Time request_time = Now();
-  const int64_t from = contact.version;
+  const int64_t version = contact.version;
+  int64_t from = version;
   const std::map<std::string, int64_t> acked_messages =
       daemon->peer_message_numbers;
   const bool can_long_poll = !contact.is_lost && !HasGap(contact);
@@ -276,8 +277,15 @@
     RecordFailedRead(request_time, request_time + wait + kStoreTimeout,
                      &contact);
     NotifyRunnerChange(daemon.get());
+    if (polled.has_long_rows && HasGap(contact)) {
+      // The changes are probably too long.
+      from = contact.version = 0;
+    }
     outcome = co_await ReadTableThroughPeer(*daemon, polled, from);
     if (std::holds_alternative<Error>(outcome)) {
+      if (contact.era == daemon->store_era) {
+        contact.version = std::max(contact.version, version);
+      }
       co_return false;
     }
   }
--- a/rosemaryhook/peer_reads.cc
+++ b/rosemaryhook/peer_reads.cc
@@ -9,11 +9,15 @@
 namespace rosemaryhook {
 namespace {
 
-// Below the requesting host's own timeout.
-constexpr Duration kForwardedReadTimeout = std::chrono::milliseconds(500);
+// Time in which the store has to go on with its answer. Below the requesting
+// host's own timeout.
+constexpr Duration kStoreProgressTimeout = std::chrono::milliseconds(500);
 
-// Maximum number of reads that are forwarded concurrently. Bounds memory: a
-// response of the store has at most kMaxStoreAnswerBytes.
+// The whole answer, which goes through two links.
+constexpr Duration kMaxForwardTime = std::chrono::seconds(4);
+
+// Maximum number of reads that are forwarded concurrently. Bounds memory and
+// the share of this host's link.
 constexpr int kMaxPeerReads = 16;
 
 // Counts a read until its answer is sent: the answer is held until then.
@@ -30,6 +34,36 @@
   DirectDaemon* daemon_;
 };
 
+// Passes the body on as it arrives: on narrow links a long one takes longer
+// than the requesting host waits without progress.
+awaitable<void> ForwardAnswer(const HttpHead& head,
+                              HttpExchange& exchange,
+                              HttpReply& reply) {
+  Headers headers =
+      platform::StoreEraHeaders(platform::ParseStoreEra(head.headers));
+  if (!co_await reply.Begin(head.status, std::move(headers))) {
+    co_return exchange.Cancel();
+  }
+  size_t bytes = 0;
+  while (true) {
+    auto chunk = co_await exchange.ReadChunk();
+    if (Failure(chunk) != nullptr) {
+      co_return reply.Abort();
+    }
+    std::string& data = std::get<std::string>(chunk);
+    bytes += data.size();
+    if (data.empty()) {
+      co_await reply.End();
+      co_return;
+    }
+    if (bytes > kMaxStoreAnswerBytes ||
+        !co_await reply.Chunk(std::move(data))) {
+      exchange.Cancel();
+      co_return reply.Abort();
+    }
+  }
+}
+
 }  // namespace
 
 std::string ChooseReadPeer(const std::string& self,
@@ -74,21 +108,24 @@
   call.address = daemon->store.address;
   call.method = "GET";
   call.target = request.target;
-  call.deadline = Now() + kForwardedReadTimeout;
+  call.deadline = Now() + kMaxForwardTime;
+  call.progress_timeout = kStoreProgressTimeout;
+  call.connect_timeout = kStoreProgressTimeout;
   const ScopedPeerRead read(daemon.get());
-  auto fetched =
-      co_await Fetch(&daemon->pool, std::move(call), kMaxStoreAnswerBytes);
+  HttpExchange exchange(&daemon->pool);
+  auto started = co_await exchange.Start(std::move(call));
   daemon->metrics.Count("peer_reads_total");
-  if (const Error* error = Failure(fetched)) {
+  if (Failure(started) != nullptr) {
+    co_await reply.Send(503, {}, "");
+    co_return;
+  }
+  if (exchange.stated_length() > kMaxStoreAnswerBytes) {
+    exchange.Cancel();
     // Changes that are too long for one answer are read as a whole table.
-    co_await reply.Send(IsBodyTooLong(*error) ? 410 : 503, {}, "");
+    co_await reply.Send(410, {}, "");
     co_return;
   }
-  HttpAnswer& answer = std::get<HttpAnswer>(fetched);
-  co_await reply.Send(
-      answer.status,
-      platform::StoreEraHeaders(platform::ParseStoreEra(answer.headers)),
-      std::move(answer.body));
+  co_await ForwardAnswer(std::get<HttpHead>(started), exchange, reply);
 }
 
 }  // namespace rosemaryhook
--- a/rosemaryhook/testing/narrow_links_process_test.cc
+++ b/rosemaryhook/testing/narrow_links_process_test.cc
@@ -48,6 +48,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_refused_host_reads_a_long_configuration_through_others) {
+  NarrowSite narrow(32800);
+  int version = 1;
+  for (int refused = 0; refused < kHosts; ++refused) {
+    narrow.proxy.SetFault(ProxiedSite::LinkOf(refused), LinkFault::kReset);
+    narrow.AddRoutes(++version);
+    BOOST_TEST(Await(kMaxApplyTimeS,
+                     [&] { return narrow.IsInForce(refused, version); }),
+               refused);
+    narrow.proxy.ClearFaults();
+  }
+}
+
 // The changes since then have every version of the configuration.
 BOOST_AUTO_TEST_CASE(versions_that_a_host_has_missed_are_not_all_read) {
   constexpr int kVersions = 6;
--- a/rosemaryhook/testing/tests.cmake
+++ b/rosemaryhook/testing/tests.cmake
@@ -107,6 +107,7 @@
   direct/a_prompt_that_another_host_sent_is_found
   refused_host/a_long_configuration_reaches_hosts_the_store_refuses
   narrow_links/a_long_configuration_is_read_to_its_end
+  narrow_links/a_refused_host_reads_a_long_configuration_through_others
   narrow_links/versions_that_a_host_has_missed_are_not_all_read
   takeover/a_restarted_host_keeps_the_wait_after_a_takeover
   odd_rows/hosts_follow_the_lists_after_odd_entries
