Say in a list update that a change is too long to be read as such

So a small update that was lost no longer makes a refused host ask another one for the whole table.

Test: `direct_state/a_long_change_is_announced_until_it_is_known`; the functions are new.

--- a/rosemaryhook/direct_daemon.h
+++ b/rosemaryhook/direct_daemon.h
@@ -63,7 +63,8 @@
   Time failed_read;       // when the newest read that failed began
   Time fresh_before;      // `fresh` before the newest answer or update
   int64_t announced = 0;  // newest version in a list update from another host
-  Time gap_since;         // when a missed update was last detected
+  int64_t announced_long = 0;  // the same of updates for changes that are long
+  Time gap_since;              // when a missed update was last detected
   ListSource source = ListSource::kFull;
 };
 
--- a/rosemaryhook/direct_era.cc
+++ b/rosemaryhook/direct_era.cc
@@ -36,6 +36,7 @@
         &daemon->owner_contact}) {
     contact->version = 0;
     contact->announced = 0;
+    contact->announced_long = 0;
   }
   daemon->operator_contact.settle_due = settle_due;
   daemon->runner_contact.settle_due = settle_due;
--- a/rosemaryhook/direct_lists.cc
+++ b/rosemaryhook/direct_lists.cc
@@ -186,6 +186,10 @@
   return contact.version > 0 && contact.version < contact.announced;
 }
 
+bool HasLongGap(const StoreContact& contact) {
+  return contact.version > 0 && contact.version < contact.announced_long;
+}
+
 void RecordStoreAnswer(const char* list, Time now, StoreContact* contact) {
   if (contact->is_lost) {
     Log("store_regained",
--- a/rosemaryhook/direct_lists.h
+++ b/rosemaryhook/direct_lists.h
@@ -45,6 +45,9 @@
 // Whether a list update announced changes that this host does not have yet.
 bool HasGap(const StoreContact& contact);
 
+// Whether some of these changes are too long to be read as such.
+bool HasLongGap(const StoreContact& contact);
+
 // Records that the store answered this host's request for `list`.
 void RecordStoreAnswer(const char* list, Time now, StoreContact* contact);
 
--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -104,12 +104,12 @@
                  const std::string& peer,
                  Duration elapsed,
                  const ChangesOutcome& outcome,
+                 bool has_gap,
                  const StoreContact& contact) {
   const auto* error = std::get_if<Error>(&outcome);
   if (error == nullptr && elapsed < kSlowReadThreshold) {
     return;
   }
-  const bool has_gap = HasGap(contact);
   const auto* rows = std::get_if<StoreRows>(&outcome);
   Log("slow_read",
       {{"list", list},
@@ -218,8 +218,8 @@
   const int64_t clock_ms =
       Millis(contact.fresh.time_since_epoch()) + daemon->store_clock_offset_ms;
   BroadcastListUpdate(
-      {polled.table, known + 1, known + 1, {}, 0, clock_ms, contact.era}, {},
-      daemon);
+      {polled.table, known + 1, known + 1, {}, 0, clock_ms, contact.era, true},
+      {}, daemon);
 }
 
 // Records that an update was missed, or that its rows were too long to be sent
@@ -233,6 +233,9 @@
     contact->gap_since = now;
   }
   contact->announced = std::max(contact->announced, update.to);
+  if (update.is_long) {
+    contact->announced_long = std::max(contact->announced_long, update.to);
+  }
 }
 
 // The era of the store that answered; 0 if it does not say.
@@ -259,17 +262,21 @@
   StoreContact& contact = (*daemon).*polled.contact;
   const Time request_time = Now();
   const int64_t version = contact.version;
-  int64_t from = version;
+  const bool has_gap = HasGap(contact);
+  if (HasLongGap(contact)) {
+    contact.version = 0;
+  }
+  const int64_t from = contact.version;
   const std::map<std::string, int64_t> acked_messages =
       daemon->peer_message_numbers;
-  const bool can_long_poll = !contact.is_lost && !HasGap(contact);
+  const bool can_long_poll = !contact.is_lost && !has_gap;
   const Duration wait =
       can_long_poll ? polled.long_poll_wait : Duration::zero();
   auto outcome = co_await ReadTable(daemon->store, polled, from, wait);
   const auto* store_error = std::get_if<Error>(&outcome);
   const bool is_from_store = store_error == nullptr;
   LogSlowRead(polled.list_name, daemon->store.address,
-              Now() - request_time - wait, outcome, contact);
+              Now() - request_time - wait, outcome, has_gap, contact);
   if (is_from_store) {
     RecordStoreAnswer(polled.list_name, Now(), &contact);
   } else {
@@ -277,10 +284,6 @@
     RecordFailedRead(request_time, request_time + wait + kStoreTimeout,
                      &contact);
     NotifyRunnerChange(daemon.get());
-    if (polled.has_long_rows && HasGap(contact)) {
-      // The changes are probably too long.
-      from = contact.version = 0;
-    }
     outcome = co_await ReadTableThroughPeer(*daemon, polled, from);
     if (std::holds_alternative<Error>(outcome)) {
       if (contact.era == daemon->store_era) {
--- a/rosemaryhook/peer_message.cc
+++ b/rosemaryhook/peer_message.cc
@@ -184,7 +184,8 @@
           Json::array({row.key, row.value, row.version, row.is_removed}));
     }
     json.push_back(Json::array({item.list, item.from, item.to, std::move(rows),
-                                item.acked_message, item.clock_ms, item.era}));
+                                item.acked_message, item.clock_ms, item.era,
+                                item.is_long}));
   }
   return json;
 }
@@ -204,6 +205,7 @@
     read.acked_message = item.at(4).get<int64_t>();
     read.clock_ms = item.at(5).get<int64_t>();
     read.era = item.size() > 6 ? item.at(6).get<int64_t>() : 0;
+    read.is_long = item.size() > 7 && item.at(7).get<bool>();
     updates.push_back(std::move(read));
   }
   return updates;
--- a/rosemaryhook/peer_message.h
+++ b/rosemaryhook/peer_message.h
@@ -46,6 +46,9 @@
   int64_t acked_message = 0;
   int64_t clock_ms = 0;  // the store's steady clock when it answered
   int64_t era = 0;       // of the store (platform::ParseStoreEra)
+  // The changes are too long to be read as such, and no update has their rows:
+  // the whole table has to be read.
+  bool is_long = false;
 };
 
 // Asks the owners of runners for the loads that they count.
--- a/rosemaryhook/testing/direct_state_test.cc
+++ b/rosemaryhook/testing/direct_state_test.cc
@@ -410,6 +410,27 @@
   BOOST_TEST(contact.version == 9);
 }
 
+BOOST_AUTO_TEST_CASE(a_long_change_is_announced_until_it_is_known) {
+  ListUpdate announcement = Update(8, 8, {});
+  announcement.is_long = true;
+  PeerMessage message;
+  message.session = "s";
+  message.updates.push_back(announcement);
+  const auto parsed = ParsePeerMessage(EncodePeerMessage(message));
+  BOOST_REQUIRE(Failure(parsed) == nullptr);
+  const ListUpdate& received = std::get<PeerMessage>(parsed).updates.at(0);
+  StoreContact& contact = daemon.runner_contact;
+  contact.version = 7;
+  ApplyListUpdate(received, At(1), &daemon);
+  BOOST_TEST(HasGap(contact));
+  BOOST_TEST(HasLongGap(contact));
+  // A later change that is short.
+  ApplyListUpdate(Update(12, 14, {}), At(2), &daemon);
+  contact.version = 9;
+  BOOST_TEST(HasGap(contact));
+  BOOST_TEST(!HasLongGap(contact));
+}
+
 // Guards against a busy host that took an update for current which had been in
 // its socket for 3 s, and so did not read the store while a confirmed
 // configuration was in force elsewhere. Seen at the grown Marsu Koti with slow
