Keep what was announced while a whole table is read

What callers could see: a change that came late by up to another poll of the store (0.9 s).

Cause: while a host reads a whole table, updates are not applied but noted as announced. When the read ended, the note was overwritten with the version that was read, also if a newer one had been announced meanwhile. Tables of long configurations are now read often, and take longer.

It is overwritten only if the store tells no era: a store that was restored may then never reach what was announced before. BeginEra resets it otherwise.

--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -320,8 +320,10 @@
                   StoreTimeToLocal(*daemon, rows.clock_ms, now), now, &contact);
   const int64_t known = contact.version;
   contact.version = std::max(known, rows.version);
-  if (from == 0) {
+  if (from == 0 && contact.era == 0) {
+    // A restored store that tells no era may never reach what was announced.
     contact.announced = contact.version;
+    contact.announced_long = contact.version;
   }
   contact.source = !is_from_store ? ListSource::kPeer
                    : from == 0    ? ListSource::kFull
