Log whole tables that are read slowly with their own time

The time of a long poll was taken off the duration of a read of the operators' table also where the whole table was read, which does not wait, unless the host knew of a change that it lacked. So `slow_read` left out such reads of 0.3 to 1.2 s (at the start, after the history was gone or too long) and understated longer ones. A read of a whole table now has no long poll to take off; its time-outs are as before. Two comments are added.

--- a/rosemaryhook/direct_store.cc
+++ b/rosemaryhook/direct_store.cc
@@ -264,12 +264,12 @@
   const int64_t version = contact.version;
   const bool has_gap = HasGap(contact);
   if (HasLongGap(contact)) {
-    contact.version = 0;
+    contact.version = 0;  // reads the whole table
   }
   const int64_t from = contact.version;
   const std::map<std::string, int64_t> acked_messages =
       daemon->peer_message_numbers;
-  const bool can_long_poll = !contact.is_lost && !has_gap;
+  const bool can_long_poll = from > 0 && !contact.is_lost && !has_gap;
   const Duration wait =
       can_long_poll ? polled.long_poll_wait : Duration::zero();
   auto outcome = co_await ReadTable(daemon->store, polled, from, wait);
@@ -287,6 +287,7 @@
     outcome = co_await ReadTableThroughPeer(*daemon, polled, from);
     if (std::holds_alternative<Error>(outcome)) {
       if (contact.era == daemon->store_era) {
+        // No update was applied while the whole table was read.
         contact.version = std::max(contact.version, version);
       }
       co_return false;
