Take the ports of narrow_links from below the ephemeral range

Their ports, 32770 and above, are in the range from which the system takes those of outgoing connections (32768 to 60999 here), and other tests had them. The blocks 28700 to 28900 are below it and used by no other test.

--- a/rosemaryhook/testing/narrow_links_process_test.cc
+++ b/rosemaryhook/testing/narrow_links_process_test.cc
@@ -37,7 +37,7 @@
 BOOST_AUTO_TEST_SUITE(narrow_links)
 
 BOOST_AUTO_TEST_CASE(a_long_configuration_is_read_to_its_end) {
-  NarrowSite narrow(32700);
+  NarrowSite narrow(28700);
   for (int version = 2; version < 5; ++version) {
     narrow.AddRoutes(version);
     const auto is_in_force = [&] {
@@ -49,7 +49,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_refused_host_reads_a_long_configuration_through_others) {
-  NarrowSite narrow(32800);
+  NarrowSite narrow(28800);
   int version = 1;
   for (int refused = 0; refused < kHosts; ++refused) {
     narrow.proxy.SetFault(ProxiedSite::LinkOf(refused), LinkFault::kReset);
@@ -65,7 +65,7 @@
 BOOST_AUTO_TEST_CASE(versions_that_a_host_has_missed_are_not_all_read) {
   constexpr int kVersions = 6;
   constexpr Duration kWriteInterval = std::chrono::milliseconds(100);
-  NarrowSite narrow(32900);
+  NarrowSite narrow(28900);
   const std::string link = ProxiedSite::LinkOf(0);
   int version = 1;
   for (int round = 0; round < 3; ++round) {
