--- a/review/small_site.cc
+++ b/review/small_site.cc
@@ -10,6 +10,9 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <thread>
+
+#include "rosemaryhook/log.h"
 
 namespace rosemaryhook::review {
 namespace {
@@ -92,6 +95,8 @@
 SmallSite::SmallSite(int argc, char** argv, SmallSiteOptions options)
     : options_(options), started_(Now()) {
   std::signal(SIGPIPE, SIG_IGN);
+  // The client library's log lines of this process are buffered and dropped.
+  StartLogging([] {});
   std::signal(SIGTERM, EndOnSignal);
   std::signal(SIGINT, EndOnSignal);
   const char* trouble = std::getenv("TROUBLE");
@@ -141,6 +146,18 @@
   }
 }
 
+void SmallSite::Start(testing::Process* process) const {
+  const std::string log = folder_ + "/" + process->name + ".log";
+  process->pid = testing::Spawn(process->command, log, log);
+  Remember(process->pid);
+}
+
+void SmallSite::RestartHost(int i, Duration delay) {
+  Kill(&hosts_.at(i));
+  std::this_thread::sleep_for(delay);
+  Start(&hosts_.at(i));
+}
+
 int SmallSite::PortOf(int host, int port) const {
   const int index = host * kPortsPerHost + port;
   return ports_.at(index);
@@ -179,9 +196,7 @@
     std::ofstream(file) << Settings(i);
     testing::Process process{fmt::format("edge-{}", i + 1),
                              HostCommand(file, options_.max_descriptors), 0};
-    const std::string log = folder_ + "/" + process.name + ".log";
-    process.pid = testing::Spawn(process.command, log, log);
-    Remember(process.pid);
+    Start(&process);
     hosts_.push_back(process);
   }
 }
--- a/review/small_site.h
+++ b/review/small_site.h
@@ -42,6 +42,8 @@
   bool has_trouble() const { return has_trouble_; }
 
   void StartHosts();
+  // Ends a daemon with SIGKILL and starts it again later, as the platform does.
+  void RestartHost(int i, Duration delay);
   testing::Process& host(int i) { return hosts_.at(i); }
   std::string Callers(int i) const { return Address(i, 1); }
   std::string Readiness(int i) const { return Address(i, 2); }
@@ -70,6 +72,7 @@
   std::string Address(int host, int port) const;
   std::string Settings(int host) const;
   void Kill(testing::Process* process) const;
+  void Start(testing::Process* process) const;
 
   SmallSiteOptions options_;
   bool has_trouble_ = true;
